--- /dev/null
+++ b/src/limits/retry_budget.cpp
@@ -0,0 +1,29 @@
+#include <buckthorncroft/limits/retry_budget.h>
+
+#include <algorithm>
+
+namespace buckthorncroft::limits {
+
+RetryBudget::RetryBudget(double share, double burst)
+    : m_share(share)
+    , m_burst(burst)
+{
+}
+
+void RetryBudget::requestStarted()
+{
+    m_tokens = std::min(m_burst, m_tokens + m_share);
+}
+
+bool RetryBudget::tryTake()
+{
+    // The small term absorbs rounding: ten times 0.1 is slightly less than 1.
+    if (m_tokens < 1 - 1e-9) {
+        ++m_refusals;
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace buckthorncroft::limits
