Add membership and rendezvous hashing

Cause: coordinators and configuration readers are chosen among the live instances, and the platform's list lags. Change: membership from the list, direct contact and relayed contact; superseded incarnations are dropped; coordinators by rendezvous hashing per service and zone. Conclusion: soft state that other packages may lose at any time.

--- /dev/null
+++ b/include/buckthorncroft/membership/rendezvous.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthorncroft::membership {
+
+/// Score of `member` for `key`; the member with the highest score owns the key. Equal on all instances.
+std::uint64_t rendezvousScore(std::string_view key, std::string_view member);
+
+/// Returns up to `count` members with the highest scores for `key`, best first. When a member leaves, only the keys
+/// that it owned move.
+std::vector<std::string> rendezvousTop(std::string_view key, std::span<const std::string> members, std::size_t count);
+
+} // namespace buckthorncroft::membership
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,170 @@
+#include <buckthorncroft/membership/membership.h>
+
+#include <algorithm>
+#include <buckthorncroft/membership/rendezvous.h>
+
+namespace buckthorncroft::membership {
+
+namespace {
+
+    // Restarts of one instance within the retention time; older incarnations are forgotten first.
+    constexpr std::size_t maxSupersededPerInstance = 16;
+
+} // namespace
+
+Membership::Membership(Peer self, MembershipSettings settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+}
+
+Membership::Entry* Membership::findOrAdd(const Peer& peer)
+{
+    if (peer.instance.empty() || peer.instance == m_self.instance)
+        return nullptr;
+    const auto it = m_entries.find(peer.instance);
+    if (it != m_entries.end())
+        return &it->second;
+    if (m_entries.size() >= m_settings.maxPeers)
+        return nullptr;
+    auto& entry = m_entries[peer.instance];
+    entry.peer = peer;
+    return &entry;
+}
+
+// Takes over what `peer` says about itself. A relayed message never replaces a known incarnation by one that this
+// instance has seen superseded, and only direct contact proves that a new incarnation runs.
+bool Membership::adopt(Entry& entry, const Peer& peer, bool direct)
+{
+    auto& superseded = m_superseded[peer.instance];
+    if (superseded.count(peer.incarnation))
+        return false;
+    if (entry.peer.incarnation && entry.peer.incarnation != peer.incarnation) {
+        if (!direct)
+            return false;
+        if (superseded.size() >= maxSupersededPerInstance)
+            superseded.erase(superseded.begin());
+        superseded.insert(entry.peer.incarnation);
+        entry.peer.leaving = false;
+    }
+    const bool leaving = entry.peer.leaving || peer.leaving; // A process that stops does not come back.
+    entry.peer = peer;
+    entry.peer.leaving = leaving;
+    return true;
+}
+
+void Membership::listed(const std::vector<Peer>& peers, base::SteadyTime now)
+{
+    std::set<std::string> names;
+    for (const auto& it : peers) {
+        names.insert(it.instance);
+        auto* entry = findOrAdd(it);
+        if (!entry)
+            continue;
+        if (!entry->listedSince)
+            entry->listedSince = now;
+        // The list lags, so what the peer says itself goes first; an address is taken only while it is silent.
+        if (!entry->heardAtAll)
+            entry->peer.address = it.address;
+        if (it.leaving && !entry->heardDirectly)
+            entry->peer.leaving = true;
+    }
+    for (auto& [name, entry] : m_entries) {
+        if (!names.count(name))
+            entry.listedSince.reset();
+    }
+}
+
+bool Membership::heardFrom(const Peer& peer, base::SteadyTime now)
+{
+    auto* entry = findOrAdd(peer);
+    if (!entry || !adopt(*entry, peer, true))
+        return false;
+    entry->heardDirectly = now;
+    entry->heardAtAll = now;
+    return true;
+}
+
+void Membership::heardOf(const Peer& peer, std::chrono::milliseconds age, base::SteadyTime now)
+{
+    if (age >= m_settings.contactTimeout || age < std::chrono::milliseconds(0))
+        return;
+    auto* entry = findOrAdd(peer);
+    if (!entry || !adopt(*entry, peer, false))
+        return;
+    entry->heardAtAll = std::max(entry->heardAtAll.value_or(base::SteadyTime::min()), now - age);
+}
+
+void Membership::expire(base::SteadyTime now)
+{
+    std::erase_if(m_entries, [&](const auto& item) {
+        const auto& entry = item.second;
+        return !entry.listedSince && (!entry.heardAtAll || now - *entry.heardAtAll > m_settings.forgetAfter);
+    });
+    std::erase_if(m_superseded, [&](const auto& item) { return !m_entries.count(item.first); });
+}
+
+bool Membership::isLive(const Entry& entry, base::SteadyTime now) const
+{
+    if (entry.heardAtAll)
+        return now - *entry.heardAtAll < m_settings.contactTimeout;
+    return entry.listedSince && now - *entry.listedSince < m_settings.listedGrace;
+}
+
+std::vector<Peer> Membership::live(base::SteadyTime now) const
+{
+    std::vector<Peer> result;
+    if (!m_self.leaving)
+        result.push_back(m_self);
+    for (const auto& [name, entry] : m_entries) {
+        if (!entry.peer.leaving && isLive(entry, now))
+            result.push_back(entry.peer);
+    }
+    std::sort(result.begin(), result.end(), [](const Peer& a, const Peer& b) { return a.instance < b.instance; });
+    return result;
+}
+
+std::size_t Membership::holderCount(base::SteadyTime now) const
+{
+    const auto holders = std::count_if(m_entries.begin(), m_entries.end(),
+        [&](const auto& item) { return item.second.listedSince || isLive(item.second, now); });
+    return static_cast<std::size_t>(holders) + 1;
+}
+
+std::vector<PeerAge> Membership::takeRelay(std::size_t count, base::SteadyTime now)
+{
+    std::vector<Entry*> fresh;
+    for (auto& [name, entry] : m_entries) {
+        if (entry.heardDirectly && now - *entry.heardDirectly < m_settings.contactTimeout)
+            fresh.push_back(&entry);
+    }
+    std::stable_sort(
+        fresh.begin(), fresh.end(), [](const Entry* a, const Entry* b) { return a->relayedAt < b->relayedAt; });
+    fresh.resize(std::min(count, fresh.size()));
+    std::vector<PeerAge> result;
+    for (auto* it : fresh) {
+        it->relayedAt = ++m_relayTurn;
+        result.push_back({ it->peer, std::chrono::duration_cast<std::chrono::milliseconds>(now - *it->heardDirectly) });
+    }
+    return result;
+}
+
+std::optional<Peer> Membership::coordinator(
+    const std::string& service, const std::string& zone, base::SteadyTime now) const
+{
+    const auto peers = live(now);
+    std::optional<Peer> best;
+    std::uint64_t bestScore = 0;
+    for (const auto& it : peers) {
+        if (it.zone != zone)
+            continue;
+        const auto score = rendezvousScore(service, it.instance);
+        if (!best || score > bestScore) {
+            best = it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace buckthorncroft::membership
--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,122 @@
+#define BOOST_TEST_MODULE Membership
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <buckthorncroft/membership/membership.h>
+#include <buckthorncroft/membership/rendezvous.h>
+
+using namespace buckthorncroft;
+using membership::Membership;
+using membership::Peer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Peer peer(const std::string& name, std::uint64_t incarnation = 1, bool leaving = false)
+{
+    return { name, "z1", "127.0.0.1:1", incarnation, leaving };
+}
+
+bool contains(const std::vector<Peer>& peers, const std::string& name)
+{
+    return std::any_of(peers.begin(), peers.end(), [&](const Peer& it) { return it.instance == name; });
+}
+
+struct Fixture {
+    base::ManualClock clock;
+    Membership members { peer("a") };
+};
+
+} // namespace
+
+// Guards against a dead instance that stays coordinator, so that evidence sent to it is lost.
+BOOST_FIXTURE_TEST_CASE(silentPeerIsNotLiveAfterTheContactTimeout, Fixture)
+{
+    members.heardFrom(peer("b"), clock.now());
+    members.listed({ peer("b") }, clock.now());
+    clock.advance(milliseconds(2999));
+    BOOST_TEST(contains(members.live(clock.now()), "b"));
+    clock.advance(milliseconds(1));
+    BOOST_TEST(!contains(members.live(clock.now()), "b"));
+}
+
+// Guards against a one-way partition that removes a peer which all others still hear.
+BOOST_FIXTURE_TEST_CASE(relayedContactKeepsAPeerLive, Fixture)
+{
+    members.heardFrom(peer("b"), clock.now());
+    for (int i = 0; i < 10; ++i) {
+        clock.advance(seconds(1));
+        members.heardOf(peer("b"), milliseconds(500), clock.now());
+        BOOST_TEST(contains(members.live(clock.now()), "b"));
+    }
+}
+
+// Guards against relays that keep a dead peer alive by echoing each other: an age only grows.
+BOOST_FIXTURE_TEST_CASE(relaysAreTakenFromDirectContactOnly, Fixture)
+{
+    members.heardOf(peer("b"), milliseconds(100), clock.now());
+    BOOST_TEST(members.takeRelay(10, clock.now()).empty());
+}
+
+// Guards against a restarted instance whose delayed messages from before the restart are still believed.
+BOOST_FIXTURE_TEST_CASE(messagesOfASupersededIncarnationAreDropped, Fixture)
+{
+    BOOST_TEST(members.heardFrom(peer("b", 1), clock.now()));
+    BOOST_TEST(members.heardFrom(peer("b", 2), clock.now()));
+    BOOST_TEST(!members.heardFrom(peer("b", 1), clock.now()));
+    members.heardOf(peer("b", 1), milliseconds(0), clock.now());
+    BOOST_TEST(members.live(clock.now()).back().incarnation == 2u);
+}
+
+// Guards against a stopping instance that is chosen as coordinator again by a delayed message.
+BOOST_FIXTURE_TEST_CASE(leavingPeerStaysOutUntilItRestarts, Fixture)
+{
+    members.heardFrom(peer("b", 1, true), clock.now());
+    members.heardFrom(peer("b", 1, false), clock.now());
+    BOOST_TEST(!contains(members.live(clock.now()), "b"));
+    members.heardFrom(peer("b", 2, false), clock.now());
+    BOOST_TEST(contains(members.live(clock.now()), "b"));
+}
+
+// Guards against a platform list that names instances which are long gone.
+BOOST_FIXTURE_TEST_CASE(listedPeerNeverHeardFromIsLiveOnlyForAGracePeriod, Fixture)
+{
+    members.listed({ peer("b", 0) }, clock.now());
+    BOOST_TEST(contains(members.live(clock.now()), "b"));
+    clock.advance(seconds(11));
+    members.listed({ peer("b", 0) }, clock.now());
+    BOOST_TEST(!contains(members.live(clock.now()), "b"));
+    BOOST_TEST(members.holderCount(clock.now()) == 2u);
+}
+
+// Guards against memory that grows with each replaced instance.
+BOOST_FIXTURE_TEST_CASE(replacedInstancesAreForgotten, Fixture)
+{
+    members.heardFrom(peer("b"), clock.now());
+    clock.advance(seconds(61));
+    members.expire(clock.now());
+    BOOST_TEST(members.holderCount(clock.now()) == 1u);
+}
+
+// Guards against a coordinator change that moves services whose coordinator did not change.
+BOOST_AUTO_TEST_CASE(lossOfAMemberMovesOnlyItsOwnKeys)
+{
+    std::vector<std::string> members;
+    for (int i = 0; i < 40; ++i)
+        members.push_back("e" + std::to_string(i));
+    auto fewer = members;
+    fewer.erase(fewer.begin() + 7);
+    unsigned moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto key = "service" + std::to_string(i);
+        const auto before = membership::rendezvousTop(key, members, 1).front();
+        const auto after = membership::rendezvousTop(key, fewer, 1).front();
+        if (before != "e7")
+            BOOST_TEST(before == after);
+        else
+            ++moved;
+    }
+    BOOST_TEST(moved > 5u);
+    BOOST_TEST(moved < 60u);
+}
