Add the public interface of the health package

Cause: routing, the control thread and the simulation need the interface before the detection exists. TargetView gains weightFor, the share per request kind, because a kind that trials cannot prove returns slowly. Observation gains countedPending, so that an attempt that was counted while it was pending is not counted twice. Conclusion: interface only; nothing measured yet.

--- /dev/null
+++ b/include/buckthorncroft/health/cusum.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <buckthorncroft/health/evidence.h>
+
+namespace buckthorncroft::health::detail {
+
+/// Log-likelihood ratios of one observation under one alternative hypothesis against the baseline.
+struct Ratios {
+    double bad = 0;
+    double good = 0;
+};
+
+/// Ratios for the bad share `alternative` against `baseline`. Both are 0 when the alternative is not clearly above the
+/// baseline, so that a service that is bad as a whole gives no evidence.
+Ratios ratios(double alternative, double baseline);
+
+/// Two cumulative sums with floor 0, one per hypothesis: partly failing, and hanging or dead. The second needs fewer
+/// observations of a target whose answers are all bad.
+struct Cusum {
+    double partly = 0;
+    double hard = 0;
+
+    /// Adds counts with the ratios of both hypotheses.
+    void add(const Counts& counts, const Ratios& partlyRatios, const Ratios& hardRatios);
+    /// Multiplies both sums, to let old evidence fade.
+    void scale(double factor);
+    double score() const { return partly > hard ? partly : hard; }
+};
+
+} // namespace buckthorncroft::health::detail
--- /dev/null
+++ b/include/buckthorncroft/health/evidence_pool.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <buckthorncroft/base/clock.h>
+#include <buckthorncroft/health/cusum.h>
+#include <buckthorncroft/health/evidence.h>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthorncroft::health {
+
+/// Evidence about the targets of one service from many reporters, as a coordinator holds it. Windows from the pools of
+/// other zones carry their first reporter, so relayed windows are not counted twice.
+class EvidencePool {
+public:
+    /// `self` names the coordinator in the scores that it gives.
+    EvidencePool(const config::Service& service, Reporter self, Settings settings = {});
+
+    /// Applies a new record of the service. Evidence about targets that are still configured is kept.
+    void reconfigure(const config::Service& service);
+
+    /// Accepts windows. Those of unknown targets or older than `Settings::maxAge` are dropped.
+    /// Returns the number of windows that changed the pool.
+    std::size_t merge(const std::vector<EvidenceWindow>& windows, base::SteadyTime now);
+
+    /// Windows that changed after `since`, for the pools of other zones: most suspicious first, at most `limit`.
+    std::vector<EvidenceWindow> relay(base::SteadyTime since, base::SteadyTime now, std::size_t limit) const;
+
+    /// Drops old evidence and scores every target and kind that has evidence.
+    PooledScores evaluate(base::SteadyTime now);
+
+    /// Targets that a reporter finds bad while others find them good, as the last `evaluate` saw it. SelfCheck compares
+    /// them over services.
+    const std::map<Reporter, std::set<std::string>>& deviating() const { return m_deviating; }
+
+    /// Replaces the set of reporters whose evidence is not used, as SelfCheck finds them.
+    void setIgnored(std::set<Reporter> ignored) { m_ignored = std::move(ignored); }
+
+private:
+    struct Cell {
+        base::SteadyTime start; ///< Start of the window on this instance's clock, as the fastest message shows it.
+        base::SteadyTime changed; ///< When the counts last grew.
+        Counts counts;
+    };
+    using ReporterIndex = std::uint32_t;
+    using CellKey = std::pair<ReporterIndex, std::uint64_t>; ///< Reporter and window.
+    struct Series {
+        std::map<CellKey, Cell> cells;
+        detail::Cusum carried; ///< State after the windows that have aged out.
+        base::SteadyTime carriedAt; ///< Time to which `carried` has decayed.
+        std::set<ReporterIndex> excluded; ///< Reporters whose path to the target is at fault.
+        double baseline = 0; ///< From the last evaluation.
+        bool capped = false; ///< Whether the last evaluation limited the weight of each reporter.
+    };
+    using SeriesId = std::pair<std::size_t, config::RequestKind>;
+
+    ReporterIndex indexOf(const Reporter& reporter);
+    void dropOld(base::SteadyTime now);
+    void findDeviating();
+    void setBaselines(base::SteadyTime now);
+    void excludePaths(Series& series, PooledScore& result);
+    PooledScore score(const SeriesId& id, Series& series, base::SteadyTime now);
+
+    Settings m_settings;
+    Reporter m_self;
+    double m_ejectScore = 0;
+    std::vector<std::string> m_targets;
+    std::vector<Reporter> m_reporters;
+    std::map<Reporter, ReporterIndex> m_reporterIndex;
+    std::map<SeriesId, Series> m_series;
+    std::set<Reporter> m_ignored;
+    std::map<Reporter, std::set<std::string>> m_deviating;
+    std::uint64_t m_sequence = 0;
+};
+
+/// Finds reporters that are themselves at fault: they find targets of several services bad which others find good.
+class SelfCheck {
+public:
+    /// Services in which a reporter must deviate before it is ignored in all of them.
+    static constexpr std::size_t minServices = 2;
+
+    /// Returns the reporters to ignore. Each element is the `deviating` result of one service's pool.
+    static std::set<Reporter> faulty(const std::vector<std::map<Reporter, std::set<std::string>>>& services);
+};
+
+} // namespace buckthorncroft::health
--- a/include/buckthorncroft/health/target_view.h
+++ b/include/buckthorncroft/health/target_view.h
@@ -12,6 +12,9 @@
     bool draining = false; ///< Receives no new work.
     bool avoidLocally = false; ///< This instance cannot use the path to the target; others may.
     double weight = 1; ///< Share of ordinary work, 0 to 1; below 1 during RampUp and Suspect.
+    /// Share of ordinary work of each kind, 0 to 1; at most `weight`. Smaller for a kind that was bad and that trial
+    /// requests cannot prove: a little of it is sent again first.
+    std::array<double, config::requestKindCount> weightFor { 1, 1, 1 };
 };
 
 } // namespace buckthorncroft::health
--- a/include/buckthorncroft/health/verdict.h
+++ b/include/buckthorncroft/health/verdict.h
@@ -57,6 +57,7 @@
     std::chrono::microseconds latency { 0 }; ///< From the first byte sent to the last byte received.
     std::chrono::microseconds allowed { 0 }; ///< Time that was left until the deadline when the attempt started.
     base::SteadyTime at; ///< When the attempt ended.
+    bool countedPending = false; ///< `ServiceHealth::attemptPending` has counted this attempt; it is not counted twice.
 };
 
 } // namespace buckthorncroft::health
