--- /dev/null
+++ b/include/buckthorncroft/daemon/observation_queue.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <buckthorncroft/config/model.h>
+#include <buckthorncroft/health/verdict.h>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace buckthorncroft::daemon {
+
+/// One finished attempt together with the service record that its target index refers to. The record is named
+/// by pointer, because an index alone would mean another target after a configuration change.
+struct ReportedObservation {
+    std::shared_ptr<const config::Service> service;
+    health::Observation observation;
+};
+
+/// Carries observations from the traffic threads to the control thread. Lock-free: when it is full, the observation is
+/// dropped and counted, so that a slow control thread never delays a request.
+class ObservationQueue {
+public:
+    /// `capacity`: observations held at most, 1 to 65,000.
+    explicit ObservationQueue(std::size_t capacity = 32768);
+    ~ObservationQueue();
+    ObservationQueue(const ObservationQueue&) = delete;
+    ObservationQueue& operator=(const ObservationQueue&) = delete;
+
+    /// Adds an observation from any thread. Returns false when it was dropped.
+    bool push(ReportedObservation observation);
+
+    /// Removes and returns at most `limit` observations. Called by the control thread only.
+    std::vector<ReportedObservation> drain(std::size_t limit = 32768);
+
+    /// Observations dropped since construction.
+    std::uint64_t dropped() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace buckthorncroft::daemon
