Add the inner protocol over gRPC

Cause: instances exchange evidence, membership, drains and configuration. Conclusion: outside processes cannot join the exchange, and damaged messages change no state.

--- /dev/null
+++ b/src/wire/convert.cpp
@@ -0,0 +1,282 @@
+#include "convert.h"
+
+#include <cmath>
+#include <map>
+
+namespace buckthorncroft::wire::detail {
+
+namespace {
+
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+
+    constexpr std::uint32_t maxCount = 100'000'000; // Attempts of one reporter within one window.
+    constexpr std::size_t maxReporters = 5000;
+
+    std::uint32_t toMilliseconds(health::Duration age)
+    {
+        return static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration_cast<milliseconds>(age).count()));
+    }
+
+    // Reporters appear many times in a message, so they are sent once and then referred to by index.
+    class ReporterTable {
+    public:
+        explicit ReporterTable(proto::Report& message)
+            : m_message(message)
+        {
+        }
+
+        std::uint32_t indexOf(const health::Reporter& reporter)
+        {
+            const auto [it, inserted] = m_indexes.try_emplace(reporter, static_cast<std::uint32_t>(m_indexes.size()));
+            if (inserted) {
+                auto& entry = *m_message.add_reporters();
+                entry.set_instance(reporter.instance);
+                entry.set_zone(reporter.zone);
+                entry.set_incarnation(reporter.incarnation);
+            }
+            return it->second;
+        }
+
+    private:
+        proto::Report& m_message;
+        std::map<health::Reporter, std::uint32_t> m_indexes;
+    };
+
+    void fillPeer(proto::Peer& out, const membership::Peer& peer, milliseconds age)
+    {
+        out.set_instance(peer.instance);
+        out.set_zone(peer.zone);
+        out.set_address(peer.address);
+        out.set_incarnation(peer.incarnation);
+        out.set_leaving(peer.leaving);
+        out.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count())));
+    }
+
+    void fillPooled(
+        proto::PooledScores& out, const health::PooledScores& pooled, milliseconds age, ReporterTable& table)
+    {
+        out.set_sequence(pooled.sequence);
+        out.set_age_ms(toMilliseconds(age));
+        for (const auto& it : pooled.ignored)
+            out.add_ignored(table.indexOf(it));
+        for (const auto& it : pooled.scores) {
+            auto& score = *out.add_scores();
+            score.set_target(it.target);
+            score.set_kind(static_cast<std::uint32_t>(it.kind));
+            score.set_score(static_cast<float>(it.score));
+            score.set_baseline(static_cast<float>(it.baseline));
+            score.set_reporters(it.reporters);
+            score.set_good(it.counts.good);
+            score.set_slow(it.counts.slow);
+            score.set_bad(it.counts.bad);
+            score.set_path_zone(it.pathZone);
+            score.set_path_score(static_cast<float>(it.pathScore));
+        }
+    }
+
+    void fillService(proto::ServiceReport& out, const ServiceReport& service, ReporterTable& table)
+    {
+        out.set_service(service.service);
+        for (const auto& it : service.windows) {
+            auto& window = *out.add_windows();
+            window.set_reporter(table.indexOf(it.reporter));
+            window.set_target(it.target);
+            window.set_kind(static_cast<std::uint32_t>(it.kind));
+            window.set_window(it.window);
+            window.set_age_ms(toMilliseconds(it.age));
+            window.set_good(it.counts.good);
+            window.set_slow(it.counts.slow);
+            window.set_bad(it.counts.bad);
+        }
+        if (service.pooled)
+            fillPooled(*out.mutable_pooled(), *service.pooled, service.pooledAge, table);
+        out.set_has_ejected(service.ejected.has_value());
+        if (service.ejected) {
+            for (const auto& it : *service.ejected) {
+                auto& ejected = *out.add_ejected();
+                ejected.set_target(it.target);
+                ejected.set_score(static_cast<float>(it.score));
+            }
+        }
+        for (const auto& it : service.draining)
+            out.add_draining(it);
+    }
+
+    /// Validates one message. The first problem is kept; the caller drops the message whole.
+    class Reader {
+    public:
+        Reader(const proto::Report& message, const MessageLimits& limits)
+            : m_message(message)
+            , m_limits(limits)
+        {
+        }
+
+        base::Result<Report> read()
+        {
+            Report report;
+            report.sender = readPeer(m_message.sender());
+            check(report.sender.incarnation != 0, "sender without incarnation");
+            report.sequence = m_message.sequence();
+            report.configurationChange = m_message.configuration_change();
+            check(static_cast<std::size_t>(m_message.services_size()) <= m_limits.maxServices, "too many services");
+            check(static_cast<std::size_t>(m_message.peers_size()) <= m_limits.maxPeers, "too many peers");
+            check(static_cast<std::size_t>(m_message.reporters_size()) <= maxReporters, "too many reporters");
+            if (!m_error.empty())
+                return fail();
+            for (const auto& it : m_message.reporters())
+                m_reporters.push_back({ name(it.instance()), name(it.zone()), it.incarnation() });
+            for (const auto& it : m_message.peers())
+                report.peers.push_back({ readPeer(it), age(it.age_ms()) });
+            for (const auto& it : m_message.services())
+                report.services.push_back(readService(it, report.sender));
+            if (!m_error.empty())
+                return fail();
+            return report;
+        }
+
+    private:
+        base::Error fail() const { return { base::ErrorCode::Malformed, m_error }; }
+
+        void check(bool condition, const char* problem)
+        {
+            if (!condition && m_error.empty())
+                m_error = problem;
+        }
+
+        std::string name(const std::string& text)
+        {
+            check(!text.empty() && text.size() <= m_limits.maxNameBytes, "a name is empty or too long");
+            return text;
+        }
+
+        milliseconds age(std::uint32_t ms)
+        {
+            check(milliseconds(ms) <= m_limits.maxAge, "an age is out of bounds");
+            return milliseconds(ms);
+        }
+
+        config::RequestKind kind(std::uint32_t value)
+        {
+            check(value < config::requestKindCount, "unknown request kind");
+            return static_cast<config::RequestKind>(value < config::requestKindCount ? value : 0);
+        }
+
+        double score(float value)
+        {
+            check(std::isfinite(value) && value >= 0, "a score is not a finite number of at least 0");
+            return value;
+        }
+
+        health::Counts counts(std::uint32_t good, std::uint32_t slow, std::uint32_t bad)
+        {
+            check(good <= maxCount && slow <= maxCount && bad <= maxCount, "a count is out of bounds");
+            return { good, slow, bad };
+        }
+
+        health::Reporter reporter(std::uint32_t index)
+        {
+            check(index < m_reporters.size(), "unknown reporter index");
+            return index < m_reporters.size() ? m_reporters[index] : health::Reporter {};
+        }
+
+        membership::Peer readPeer(const proto::Peer& peer)
+        {
+            check(peer.address().size() <= m_limits.maxNameBytes, "an address is too long");
+            return { name(peer.instance()), name(peer.zone()), peer.address(), peer.incarnation(), peer.leaving() };
+        }
+
+        health::PooledScores readPooled(const proto::PooledScores& pooled, const membership::Peer& sender)
+        {
+            health::PooledScores result;
+            result.coordinator = { sender.instance, sender.zone, sender.incarnation };
+            result.sequence = pooled.sequence();
+            for (const auto it : pooled.ignored())
+                result.ignored.push_back(reporter(it));
+            for (const auto& it : pooled.scores()) {
+                result.scores.push_back({ name(it.target()), kind(it.kind()), score(it.score()), score(it.baseline()),
+                    it.reporters(), counts(it.good(), it.slow(), it.bad()), it.path_zone(), score(it.path_score()) });
+            }
+            return result;
+        }
+
+        ServiceReport readService(const proto::ServiceReport& service, const membership::Peer& sender)
+        {
+            ServiceReport result;
+            result.service = name(service.service());
+            m_windows += static_cast<std::size_t>(service.windows_size() + service.pooled().scores_size()
+                + service.ejected_size() + service.draining_size());
+            check(m_windows <= m_limits.maxWindows, "too many windows");
+            if (!m_error.empty())
+                return result;
+            for (const auto& it : service.windows()) {
+                result.windows.push_back({ reporter(it.reporter()), name(it.target()), kind(it.kind()), it.window(),
+                    age(it.age_ms()), counts(it.good(), it.slow(), it.bad()) });
+            }
+            if (service.has_pooled()) {
+                result.pooled = readPooled(service.pooled(), sender);
+                result.pooledAge = age(service.pooled().age_ms());
+            }
+            if (service.has_ejected()) {
+                result.ejected.emplace();
+                for (const auto& it : service.ejected())
+                    result.ejected->push_back({ name(it.target()), score(it.score()) });
+            }
+            for (const auto& it : service.draining())
+                result.draining.push_back(name(it));
+            return result;
+        }
+
+        const proto::Report& m_message;
+        const MessageLimits& m_limits;
+        std::string m_error;
+        std::vector<health::Reporter> m_reporters;
+        std::size_t m_windows = 0;
+    };
+
+} // namespace
+
+proto::Report toProto(const Report& report)
+{
+    proto::Report message;
+    ReporterTable table(message);
+    fillPeer(*message.mutable_sender(), report.sender, milliseconds(0));
+    message.set_sequence(report.sequence);
+    message.set_configuration_change(report.configurationChange);
+    for (const auto& it : report.services)
+        fillService(*message.add_services(), it, table);
+    for (const auto& it : report.peers)
+        fillPeer(*message.add_peers(), it.peer, it.age);
+    return message;
+}
+
+base::Result<Report> fromProto(const proto::Report& message, const MessageLimits& limits)
+{
+    return Reader(message, limits).read();
+}
+
+proto::PlaceRequest toProto(const PlaceRequest& request)
+{
+    proto::PlaceRequest message;
+    message.set_instance(request.instance);
+    message.set_service(request.service);
+    message.set_kind(static_cast<std::uint32_t>(request.kind));
+    for (const auto& it : request.excluded)
+        message.add_excluded(it);
+    return message;
+}
+
+base::Result<PlaceRequest> fromProto(const proto::PlaceRequest& message, const MessageLimits& limits)
+{
+    if (message.instance().empty() || message.service().empty() || message.instance().size() > limits.maxNameBytes
+        || message.service().size() > limits.maxNameBytes)
+        return base::Error { base::ErrorCode::Malformed, "a name is empty or too long" };
+    if (message.kind() >= config::requestKindCount)
+        return base::Error { base::ErrorCode::Malformed, "unknown request kind" };
+    if (static_cast<std::size_t>(message.excluded_size()) > limits.maxPeers)
+        return base::Error { base::ErrorCode::LimitExceeded, "too many excluded targets" };
+    return PlaceRequest { message.instance(), message.service(), static_cast<config::RequestKind>(message.kind()),
+        { message.excluded().begin(), message.excluded().end() } };
+}
+
+} // namespace buckthorncroft::wire::detail
--- /dev/null
+++ b/tests/io/wire_test.cpp
@@ -0,0 +1,224 @@
+#define BOOST_TEST_MODULE Wire
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <buckthorncroft/wire/codec.h>
+#include <buckthorncroft/wire/inner_client.h>
+#include <buckthorncroft/wire/inner_server.h>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <rapidcheck.h>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+
+namespace {
+
+wire::Report sampleReport()
+{
+    wire::Report report;
+    report.sender = { "e1", "z1", "127.0.0.1:7000", 42, false };
+    report.sequence = 9;
+    report.configurationChange = 3;
+    const health::Reporter self { "e1", "z1", 42 };
+    wire::ServiceReport service;
+    service.service = "bookdesk";
+    service.windows.push_back({ self, "b1", config::RequestKind::NonIdempotent, 17, 250ms, { 3, 1, 2 } });
+    service.windows.push_back({ { "e2", "z1", 43 }, "b2", config::RequestKind::Idempotent, 18, 750ms, { 5, 0, 0 } });
+    service.pooled.emplace();
+    service.pooled->coordinator = self;
+    service.pooled->sequence = 5;
+    service.pooled->scores.push_back({ "b1", config::RequestKind::Upload, 7.5, 0.25, 4, { 1, 2, 3 }, "z2", 1.5 });
+    service.pooledAge = 120ms;
+    service.ejected.emplace();
+    service.ejected->push_back({ "b1", 12.5 });
+    service.draining = { "b4" };
+    report.services.push_back(service);
+    report.peers.push_back({ { "e3", "z2", "127.0.0.1:7002", 44, true }, 300ms });
+    return report;
+}
+
+class Handler final : public wire::InnerHandler {
+public:
+    wire::Report exchange(wire::Report report) override
+    {
+        ++exchanges;
+        return report;
+    }
+    wire::ConfigurationDocument fetchConfiguration(std::uint64_t newerThan) override
+    {
+        return newerThan < 7 ? wire::ConfigurationDocument { 7, "d", "text" } : wire::ConfigurationDocument {};
+    }
+    wire::PlaceReply place(const wire::PlaceRequest& request) override { return { request.service + "-1", 5 }; }
+    void release(const std::string&, const std::vector<std::uint64_t>&) override { }
+    void malformed(const std::string& sender, const base::Error&) override
+    {
+        ++malformedMessages;
+        lastSender = sender;
+    }
+
+    std::atomic<int> exchanges { 0 };
+    std::atomic<int> malformedMessages { 0 };
+    std::string lastSender;
+};
+
+template <typename T, typename Send> base::Result<T> await(Send send)
+{
+    std::promise<base::Result<T>> promise;
+    send([&](base::Result<T> result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+std::string address(const wire::InnerServer& server)
+{
+    return "127.0.0.1:" + std::to_string(server.port());
+}
+
+// Makes an authority and one certificate signed by it.
+struct Authority {
+    explicit Authority(const std::string& name)
+        : folder(std::filesystem::temp_directory_path() / ("buckthorncroft-wire-" + std::to_string(getpid()) + name))
+    {
+        std::filesystem::create_directories(folder);
+        const auto base = folder.string() + "/";
+        run("openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=fleet-" + name + " -keyout " + base
+            + "ca.key -out " + base + "ca.pem");
+        run("openssl req -newkey rsa:2048 -nodes -subj /CN=e1 -keyout " + base + "e.key -out " + base + "e.csr");
+        run("openssl x509 -req -days 2 -in " + base + "e.csr -CA " + base + "ca.pem -CAkey " + base
+            + "ca.key -CAcreateserial -out " + base + "e.pem");
+        material = { false, base + "e.pem", base + "e.key", base + "ca.pem" };
+    }
+    ~Authority() { std::filesystem::remove_all(folder); }
+    Authority(const Authority&) = delete;
+    Authority& operator=(const Authority&) = delete;
+
+    static void run(const std::string& command)
+    {
+        BOOST_REQUIRE_EQUAL(std::system((command + " >/dev/null 2>&1").c_str()), 0); // NOLINT(cert-env33-c)
+    }
+
+    std::filesystem::path folder;
+    wire::TlsMaterial material;
+};
+
+} // namespace
+
+// Guards against a field that is lost or changed on its way, which would distort evidence or the floor.
+BOOST_AUTO_TEST_CASE(reportSurvivesEncodingAndDecoding)
+{
+    const auto bytes = wire::encode(sampleReport());
+    const auto decoded = wire::decode(bytes);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(wire::encode(decoded.value()) == bytes);
+    const auto& service = decoded.value().services.at(0);
+    BOOST_TEST(service.windows.at(1).reporter.instance == "e2");
+    BOOST_TEST(service.windows.at(0).counts.bad == 2u);
+    BOOST_TEST(service.pooled->scores.at(0).pathZone == "z2");
+    BOOST_TEST(service.ejected->at(0).score == 12.5);
+    BOOST_TEST((decoded.value().peers.at(0).age == 300ms));
+}
+
+// Guards against messages that break a bound and still change state.
+BOOST_AUTO_TEST_CASE(messagesBeyondABoundAreRefused)
+{
+    auto report = sampleReport();
+    report.sender.incarnation = 0;
+    BOOST_TEST(wire::decode(wire::encode(report)).has_error());
+    report = sampleReport();
+    report.services[0].windows[0].age = 700s;
+    BOOST_TEST(wire::decode(wire::encode(report)).has_error());
+    report = sampleReport();
+    report.services[0].pooled->scores[0].score = -1;
+    BOOST_TEST(wire::decode(wire::encode(report)).has_error());
+    report = sampleReport();
+    report.services[0].windows[0].target = std::string(200, 'x');
+    BOOST_TEST(wire::decode(wire::encode(report)).has_error());
+}
+
+// Guards against a crash or an escaped exception on damaged or hostile messages.
+BOOST_AUTO_TEST_CASE(arbitraryBytesNeverThrow)
+{
+    const auto bytes = wire::encode(sampleReport());
+    BOOST_TEST(rc::check("arbitrary bytes", [](const std::string& text) { wire::decode(text).has_value(); }));
+    BOOST_TEST(rc::check("damaged report", [&] {
+        auto damaged = bytes;
+        for (int i = 0; i < 3; ++i)
+            damaged[*rc::gen::inRange<std::size_t>(0, damaged.size())] = *rc::gen::arbitrary<char>();
+        wire::decode(damaged).has_value();
+    }));
+}
+
+// Guards against a reply that reaches the wrong call, and against calls that never finish.
+BOOST_AUTO_TEST_CASE(callsReachTheServerAndReturn)
+{
+    Handler handler;
+    const wire::TlsMaterial plain { true, "", "", "" };
+    auto server = wire::InnerServer::start("127.0.0.1:0", plain, handler);
+    BOOST_REQUIRE(server.has_value());
+    wire::InnerClient client(plain);
+    const auto to = address(*server.value());
+    const auto reply = await<wire::Report>([&](auto done) { client.exchange(to, sampleReport(), 5s, done); });
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply.value().sequence == 9u);
+    const auto document
+        = await<wire::ConfigurationDocument>([&](auto done) { client.fetchConfiguration(to, 6, 5s, done); });
+    BOOST_TEST(document.value().change == 7u);
+    const auto placed = await<wire::PlaceReply>([&](auto done) {
+        client.place(to, { "e1", "calib", config::RequestKind::Idempotent, {} }, 5s, done);
+    });
+    BOOST_TEST(placed.value().target == "calib-1");
+}
+
+// Guards against a malformed message that changes state or passes unnoticed.
+BOOST_AUTO_TEST_CASE(malformedMessageIsCountedAndNamedAndChangesNothing)
+{
+    Handler handler;
+    const wire::TlsMaterial plain { true, "", "", "" };
+    auto server = wire::InnerServer::start("127.0.0.1:0", plain, handler);
+    wire::InnerClient client(plain);
+    auto report = sampleReport();
+    report.services[0].windows[0].age = 700s;
+    const auto reply
+        = await<wire::Report>([&](auto done) { client.exchange(address(*server.value()), report, 5s, done); });
+    BOOST_REQUIRE(reply.has_error());
+    BOOST_TEST((reply.error().code == base::ErrorCode::Malformed));
+    BOOST_TEST(handler.malformedMessages == 1);
+    BOOST_TEST(handler.lastSender == "e1");
+    BOOST_TEST(handler.exchanges == 0);
+}
+
+// Guards against a process without a certificate of the fleet that joins the exchange.
+BOOST_AUTO_TEST_CASE(onlyCertificatesOfTheFleetAreAccepted)
+{
+    const Authority fleet("a");
+    const Authority other("b");
+    Handler handler;
+    auto server = wire::InnerServer::start("127.0.0.1:0", fleet.material, handler);
+    BOOST_REQUIRE(server.has_value());
+    const auto to = address(*server.value());
+    const auto call = [&](const wire::TlsMaterial& tls) {
+        wire::InnerClient client(tls);
+        return await<wire::Report>([&](auto done) { client.exchange(to, sampleReport(), 3s, done); }).has_value();
+    };
+    BOOST_TEST(call(fleet.material));
+    BOOST_TEST(!call(other.material));
+    BOOST_TEST(!call({ true, "", "", "" }));
+    // A client of the fleet must not talk to a server of another authority.
+    auto otherServer = wire::InnerServer::start("127.0.0.1:0", other.material, handler);
+    wire::InnerClient client(fleet.material);
+    const auto crossed = await<wire::Report>(
+        [&](auto done) { client.exchange(address(*otherServer.value()), sampleReport(), 3s, done); });
+    BOOST_TEST(crossed.has_error());
+    BOOST_TEST(handler.exchanges == 1);
+}
+
+// Guards against two instances on one address that silently share the messages.
+BOOST_AUTO_TEST_CASE(addressInUseIsReported)
+{
+    Handler handler;
+    const wire::TlsMaterial plain { true, "", "", "" };
+    auto first = wire::InnerServer::start("127.0.0.1:0", plain, handler);
+    BOOST_TEST(wire::InnerServer::start(address(*first.value()), plain, handler).has_error());
+    BOOST_TEST(wire::InnerServer::start("127.0.0.1:0", { false, "/none", "/none", "/none" }, handler).has_error());
+}
