Track drains that targets announce themselves

Cause: a drain must reach every instance within seconds and end when the target has restarted, although health endpoints lag and instances could keep a drain alive by telling each other. Change: signs travel with their age; the instance that saw the announcement probes the health endpoint and ends the drain after 30 s without a sign and three clean probes in a row.

--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -5,6 +5,7 @@
 #include <buckthorncroft/daemon/observation_queue.h>
 #include <buckthorncroft/daemon/snapshot.h>
 #include <buckthorncroft/health/service_health.h>
+#include <buckthorncroft/membership/drain_tracker.h>
 #include <buckthorncroft/membership/membership.h>
 #include <buckthorncroft/wire/messages.h>
 #include <chrono>
@@ -55,14 +56,24 @@
     /// Change number in force; 0 before the first configuration.
     std::uint64_t change() const { return m_change; }
 
-    /// Takes observations of the traffic threads. Those of a superseded service record are matched by target id.
+    /// Takes observations of the traffic threads. Those of a superseded service record are matched by target id. An
+    /// observation with the verdict Draining starts a drain.
     void observe(const std::vector<ReportedObservation>& observations);
 
     /// Takes the platform's instance list. Entries whose address is that of a target and that are leaving drain it.
     void listed(const std::vector<membership::Peer>& entries, base::SteadyTime now);
 
-    /// A target announced in an answer that it is leaving.
-    void targetDraining(const std::string& service, const std::string& target, base::SteadyTime now);
+    /// Targets whose health endpoint should be asked whether they are still leaving.
+    struct DrainProbeRequest {
+        membership::TargetName name;
+        std::string host;
+        std::uint16_t port = 0;
+    };
+
+    std::vector<DrainProbeRequest> takeDrainProbes(base::SteadyTime now);
+
+    /// Takes the result of a probe.
+    void drainProbed(const membership::TargetName& name, membership::DrainProbe result, base::SteadyTime now);
 
     /// Takes a report of another instance and returns the reply. `accepted` is false for a report that was repeated,
     /// reordered or sent by a superseded process; nothing of it is used.
@@ -113,6 +124,9 @@
     struct ServiceState;
 
     ServiceState* find(const std::string& service);
+    void setDraining(
+        const membership::TargetName& name, bool draining, health::DrainSource source, base::SteadyTime now);
+    void endDrains(base::SteadyTime now);
     void record(const std::string& service, std::vector<health::StageChange> changes);
     void mergeService(const wire::ServiceReport& part, const wire::Report& report, base::SteadyTime now);
     void mergeReport(const wire::Report& report, base::SteadyTime now);
@@ -130,6 +144,7 @@
 
     ControlSettings m_settings;
     membership::Membership m_members;
+    membership::DrainTracker m_drains;
     health::Reporter m_reporter;
     std::mt19937_64 m_random;
     std::uint64_t m_change = 0;
--- a/include/buckthorncroft/wire/messages.h
+++ b/include/buckthorncroft/wire/messages.h
@@ -11,6 +11,12 @@
 
 namespace buckthorncroft::wire {
 
+/// A target that is leaving.
+struct DrainingTarget {
+    std::string target; ///< Target id.
+    std::chrono::milliseconds age { 0 }; ///< Time since the target's own latest sign of it.
+};
+
 /// What one instance tells another about one service.
 struct ServiceReport {
     std::string service;
@@ -18,7 +24,7 @@
     std::optional<health::PooledScores> pooled; ///< Set by a coordinator of the service.
     std::chrono::milliseconds pooledAge { 0 }; ///< Time since `pooled` was evaluated.
     std::optional<std::vector<health::EjectedTarget>> ejected; ///< Replaces the set sent earlier.
-    std::vector<std::string> draining; ///< Target ids that the sender knows to be leaving.
+    std::vector<DrainingTarget> draining; ///< Targets that the sender knows to be leaving by their own word.
 };
 
 /// One message of the exchange between instances, and its reply.
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -115,6 +115,11 @@
             if (observation.target >= state->service->targets.size())
                 continue;
         }
+        if (observation.verdict == health::Verdict::Draining) {
+            const membership::TargetName name { it.service->name, state->service->targets[observation.target].id };
+            m_drains.announced(name, observation.at);
+            setDraining(name, true, health::DrainSource::TargetAnswer, observation.at);
+        }
         state->health.observe(observation);
     }
 }
@@ -143,14 +148,49 @@
     m_members.listed(instances, now);
 }
 
-void ControlState::targetDraining(const std::string& service, const std::string& target, base::SteadyTime now)
+void ControlState::setDraining(
+    const membership::TargetName& name, bool draining, health::DrainSource source, base::SteadyTime now)
 {
-    auto* state = find(service);
+    auto* state = find(name.service);
     if (!state)
         return;
-    const auto i = indexOf(*state->service, target);
+    const auto i = indexOf(*state->service, name.target);
     if (i < state->service->targets.size())
-        record(service, state->health.setDraining(i, true, health::DrainSource::TargetAnswer, now));
+        record(name.service, state->health.setDraining(i, draining, source, now));
+}
+
+std::vector<ControlState::DrainProbeRequest> ControlState::takeDrainProbes(base::SteadyTime now)
+{
+    std::vector<DrainProbeRequest> result;
+    for (const auto& name : m_drains.takeProbes(now)) {
+        const auto* state = find(name.service);
+        if (!state)
+            continue;
+        const auto i = indexOf(*state->service, name.target);
+        if (i < state->service->targets.size())
+            result.push_back({ name, state->service->targets[i].host, state->service->targets[i].port });
+    }
+    return result;
+}
+
+void ControlState::drainProbed(const membership::TargetName& name, membership::DrainProbe result, base::SteadyTime now)
+{
+    m_drains.probed(name, result, now);
+}
+
+// A target that has come back has restarted, so it ramps up like any started target.
+void ControlState::endDrains(base::SteadyTime now)
+{
+    for (const auto& name : m_drains.takeEnded(now)) {
+        setDraining(name, false, health::DrainSource::TargetAnswer, now);
+        setDraining(name, false, health::DrainSource::Peer, now);
+        auto* state = find(name.service);
+        if (!state)
+            continue;
+        const auto i = indexOf(*state->service, name.target);
+        if (i < state->service->targets.size())
+            record(name.service, state->health.targetStarted(i, now));
+    }
 }
 
 void ControlState::mergeService(const wire::ServiceReport& part, const wire::Report& report, base::SteadyTime now)
@@ -165,9 +205,10 @@
     if (part.ejected)
         record(part.service, state->health.mergeEjected(report.sender.instance, *part.ejected, now));
     for (const auto& it : part.draining) {
-        const auto i = indexOf(*state->service, it);
-        if (i < state->service->targets.size())
-            record(part.service, state->health.setDraining(i, true, health::DrainSource::Peer, now));
+        const membership::TargetName name { part.service, it.target };
+        if (indexOf(*state->service, it.target) < state->service->targets.size()
+            && m_drains.heard({ name, it.age }, now))
+            setDraining(name, true, health::DrainSource::Peer, now);
     }
 }
 
@@ -229,6 +270,7 @@
 void ControlState::tick(base::SteadyTime now)
 {
     m_members.expire(now);
+    endDrains(now);
     evaluatePools(now);
     for (auto& [name, state] : m_services)
         record(name, state->health.tick(now));
@@ -285,11 +327,9 @@
         state.ejectedUntil = now + ejectedRepeat;
     if (now < state.ejectedUntil)
         part.ejected = std::move(ejected);
-    const auto views = state.health.views(now);
-    for (std::size_t i = 0; i < views.size(); ++i) {
-        // A drain from the configuration reaches every instance with the configuration itself.
-        if (views[i].draining && !state.service->targets[i].draining)
-            part.draining.push_back(state.service->targets[i].id);
+    for (const auto& it : m_drains.signs(now)) {
+        if (it.name.service == service)
+            part.draining.push_back({ it.name.target, it.age });
     }
     report.services.push_back(std::move(part));
     return report.services.back();
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -99,8 +99,11 @@
                 ejected.set_score(static_cast<float>(it.score));
             }
         }
-        for (const auto& it : service.draining)
-            out.add_draining(it);
+        for (const auto& it : service.draining) {
+            auto& draining = *out.add_draining();
+            draining.set_target(it.target);
+            draining.set_age_ms(toMilliseconds(it.age));
+        }
     }
 
     /// Validates one message. The first problem is kept; the caller drops the message whole.
@@ -223,7 +226,7 @@
                     result.ejected->push_back({ name(it.target()), score(it.score()) });
             }
             for (const auto& it : service.draining())
-                result.draining.push_back(name(it));
+                result.draining.push_back({ name(it.target()), age(it.age_ms()) });
             return result;
         }
 
--- /dev/null
+++ b/tests/core/drain_tracker_test.cpp
@@ -0,0 +1,67 @@
+#define BOOST_TEST_MODULE DrainTracker
+#include <boost/test/unit_test.hpp>
+
+#include <buckthorncroft/membership/drain_tracker.h>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+using membership::DrainProbe;
+using membership::DrainTracker;
+
+namespace {
+
+const membership::TargetName target { "bookdesk", "b1" };
+
+struct Fixture {
+    base::ManualClock clock;
+    DrainTracker a;
+    DrainTracker b;
+};
+
+} // namespace
+
+// Guards against instances that keep a drain alive for ever by passing each other's signs back and forth.
+BOOST_FIXTURE_TEST_CASE(echoedSignsExpire, Fixture)
+{
+    a.heard({ target, 100ms }, clock.now());
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(500ms);
+        for (const auto& it : a.signs(clock.now()))
+            b.heard(it, clock.now());
+        for (const auto& it : b.signs(clock.now()))
+            a.heard(it, clock.now());
+        a.takeEnded(clock.now());
+        b.takeEnded(clock.now());
+    }
+    BOOST_TEST(!a.isDraining(target));
+    BOOST_TEST(!b.isDraining(target));
+}
+
+// Guards against new work for a leaving target whose lagging health endpoint still says that all is well.
+BOOST_FIXTURE_TEST_CASE(laggingHealthEndpointDoesNotEndADrainEarly, Fixture)
+{
+    a.announced(target, clock.now());
+    for (int i = 0; i < 5; ++i) {
+        clock.advance(5s);
+        BOOST_REQUIRE_EQUAL(a.takeProbes(clock.now()).size(), 1u);
+        a.probed(target, DrainProbe::Clean, clock.now());
+        BOOST_TEST(a.takeEnded(clock.now()).empty());
+    }
+    clock.advance(5s);
+    BOOST_TEST(a.takeEnded(clock.now()).size() == 1u);
+}
+
+// Guards against a restarted target that never gets work again.
+BOOST_FIXTURE_TEST_CASE(targetComesBackAfterCleanProbesOnly, Fixture)
+{
+    a.announced(target, clock.now());
+    clock.advance(60s);
+    a.probed(target, DrainProbe::Clean, clock.now());
+    a.probed(target, DrainProbe::Clean, clock.now());
+    a.probed(target, DrainProbe::NoAnswer, clock.now());
+    a.probed(target, DrainProbe::Clean, clock.now());
+    BOOST_TEST(a.takeEnded(clock.now()).empty());
+    a.probed(target, DrainProbe::Clean, clock.now());
+    a.probed(target, DrainProbe::Clean, clock.now());
+    BOOST_TEST(a.takeEnded(clock.now()).size() == 1u);
+}
--- a/tests/io/wire_test.cpp
+++ b/tests/io/wire_test.cpp
@@ -33,7 +33,7 @@
     service.pooledAge = 120ms;
     service.ejected.emplace();
     service.ejected->push_back({ "b1", 12.5 });
-    service.draining = { "b4" };
+    service.draining = { { "b4", 800ms } };
     report.services.push_back(service);
     report.peers.push_back({ { "e3", "z2", "127.0.0.1:7002", 44, true }, 300ms });
     return report;
