--- /dev/null
+++ b/include/buckthorncroft/daemon/control_plane.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <buckthorncroft/base/clock.h>
+#include <buckthorncroft/base/error.h>
+#include <buckthorncroft/daemon/observation_queue.h>
+#include <buckthorncroft/daemon/settings.h>
+#include <buckthorncroft/daemon/snapshot.h>
+#include <buckthorncroft/observe/log.h>
+#include <buckthorncroft/observe/metrics.h>
+#include <buckthorncroft/platform/platform.h>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace buckthorncroft::daemon {
+
+/// Where the authoritative configuration is read. Calls block until `timeout`; used by the platform thread only.
+class ConfigurationSource {
+public:
+    ConfigurationSource() = default;
+    ConfigurationSource(const ConfigurationSource&) = delete;
+    ConfigurationSource& operator=(const ConfigurationSource&) = delete;
+    virtual ~ConfigurationSource() = default;
+
+    /// Returns the change number of the newest accepted configuration.
+    virtual base::Result<std::uint64_t> latestChange(std::chrono::milliseconds timeout) = 0;
+
+    /// Returns the newest configuration, read consistently and with every digest checked.
+    virtual base::Result<config::Configuration> read(std::chrono::milliseconds timeout) = 0;
+};
+
+/// The platform as the control plane uses it. Any pointer may be null when the settings name no platform.
+struct PlatformAccess {
+    ConfigurationSource* configuration = nullptr;
+    platform::Platform* platform = nullptr;
+    /// Renews this instance's entry in the platform's instance list.
+    std::function<base::Result<void>(const platform::ListedInstance&, std::chrono::milliseconds)> heartbeat;
+};
+
+/// What the control plane works with. All references must outlive it.
+struct ControlPlaneParts {
+    const InstanceSettings& settings;
+    const base::Clock& clock;
+    SnapshotStore& snapshots;
+    ObservationQueue& observations;
+    const observe::Logger& logger;
+    observe::Metrics& metrics;
+    PlatformAccess platform;
+};
+
+/// Runs the control thread, the inner endpoint and the platform thread of one instance. The control thread owns all
+/// control state and publishes snapshots; the platform thread makes the calls that block.
+class ControlPlane {
+public:
+    /// `bootstrap` is applied at once unless its change number is 0. Returns `Unavailable` when the inner endpoint
+    /// cannot be bound and `InvalidArgument` when its certificates cannot be used.
+    static base::Result<std::unique_ptr<ControlPlane>> start(
+        const ControlPlaneParts& parts, const config::Configuration& bootstrap);
+
+    /// Stops all threads.
+    ~ControlPlane();
+    ControlPlane(const ControlPlane&) = delete;
+    ControlPlane& operator=(const ControlPlane&) = delete;
+
+    /// Tells peers and the platform that this instance is stopping.
+    void setLeaving();
+
+    /// Port of the inner endpoint.
+    int innerPort() const;
+
+    /// Returns a JSON document for operators: configuration in force, peers, and each target's stage with its reasons.
+    /// Waits for the control thread, at most a second.
+    std::string status();
+
+private:
+    class Implementation;
+    explicit ControlPlane(std::unique_ptr<Implementation> implementation);
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace buckthorncroft::daemon
--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -88,6 +88,9 @@
     /// Reports that are due now. Call at least every 0.1 s.
     std::vector<OutgoingReport> takeReports(base::SteadyTime now);
 
+    /// A report for a peer whose name is not known yet.
+    wire::Report makeGreeting(base::SteadyTime now);
+
     /// Stage changes since the last call, for the decision log.
     std::vector<ServiceStageChange> takeStageChanges();
 
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -439,6 +439,13 @@
     return result;
 }
 
+wire::Report ControlState::makeGreeting(base::SteadyTime now)
+{
+    auto report = makeReport(now);
+    account(report);
+    return report;
+}
+
 std::vector<ServiceStageChange> ControlState::takeStageChanges()
 {
     return std::exchange(m_stageChanges, {});
