Add detection, stages, floor and the pool of the health package (untuned)

Change: cumulative sums with two hypotheses, latency limits from the other targets, the pool with exclusion of faulty paths and reporters, the stages and the floor, and a measurement program in virtual time.

--- /dev/null
+++ b/bench/health_detection.cpp
@@ -0,0 +1,101 @@
+// Measures detection time and false ejections of the health package in virtual time, with fixed seeds.
+// Usage: bench-health_detection [detect|false|all] [trials] [days]
+#include "health_fleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fmt/format.h>
+
+using namespace buckthorncroft;
+
+namespace {
+
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const auto n = std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+    return values[n];
+}
+
+struct Case {
+    const char* name;
+    bench::Fault fault;
+};
+
+struct Load {
+    const char* name;
+    bench::Setup setup;
+};
+
+std::string shown(const std::vector<double>& values, double q, double limit)
+{
+    const double value = quantile(values, q);
+    return value >= limit ? fmt::format(">{:.0f}", limit) : fmt::format("{:.2f}", value);
+}
+
+void measureDetection(const Load& load, unsigned trials)
+{
+    constexpr double limit = 60;
+    const Case cases[] = { { "hanging", bench::Fault::Hanging }, { "failing", bench::Fault::Failing },
+        { "slow 5x", bench::Fault::Slow }, { "30 % bad", bench::Fault::PartlyBad } };
+    for (const auto& it : cases)
+        for (const bool pooled : { true, false }) {
+            std::vector<double> suspected;
+            std::vector<double> ejected;
+            std::vector<double> sent;
+            unsigned falseEjections = 0;
+            // Alone, each entry is a sample of its own, so fewer trials give as many.
+            const unsigned n = pooled ? trials : std::max(1U, trials / 10);
+            for (unsigned seed = 1; seed <= n; ++seed) {
+                auto setup = load.setup;
+                setup.pooled = pooled;
+                bench::Fleet fleet(setup, seed);
+                const auto result = fleet.detect(it.fault, limit);
+                suspected.insert(suspected.end(), result.suspected.begin(), result.suspected.end());
+                ejected.insert(ejected.end(), result.ejected.begin(), result.ejected.end());
+                sent.push_back(result.lastOrdinary);
+                falseEjections += result.falseEjections;
+            }
+            fmt::print("{:<26} {:<9} {:<7} suspect p50 {:>6} p99 {:>6}  ejected p50 {:>6} p99 {:>6}  "
+                       "last request p99 {:>6}  false {}\n",
+                load.name, it.name, pooled ? "pooled" : "alone", shown(suspected, 0.5, limit),
+                shown(suspected, 0.99, limit), shown(ejected, 0.5, limit), shown(ejected, 0.99, limit),
+                shown(sent, 0.99, limit), falseEjections);
+            std::fflush(stdout);
+        }
+}
+
+void measureFalseEjections(const Load& load, double days)
+{
+    auto setup = load.setup;
+    setup.fullEntries = 1;
+    setup.disturbed = true;
+    bench::Fleet fleet(setup, 7);
+    const auto n = fleet.runHealthy(days * 86400);
+    const double targetDays = days * setup.targets;
+    fmt::print("{:<26} bias {:.1f}  {:.1f} target-days  false ejections {}  ({:.3f} per target-day)  suspicions {}  "
+               "held back {}\n",
+        load.name, setup.bias, targetDays, n.ejections, n.ejections / targetDays, n.suspicions, n.heldBack);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::string what = argc > 1 ? argv[1] : "all";
+    const unsigned trials = argc > 2 ? static_cast<unsigned>(std::atoi(argv[2])) : 50;
+    const double days = argc > 3 ? std::atof(argv[3]) : 1;
+    const Load sprungLow { "13 targets, 60/s in all", { .targets = 13, .entries = 40, .rate = 60, .bias = 1 } };
+    const Load sprungHigh { "13 targets, 60/s each", { .targets = 13, .entries = 40, .rate = 780, .bias = 1 } };
+    const Load cymoedd { "7 targets, 4/s in all", { .targets = 7, .entries = 32, .rate = 4, .bias = 0.1 } };
+    const Load cymoeddBusy { "11 targets, 60/s in all", { .targets = 11, .entries = 32, .rate = 60, .bias = 0.1 } };
+    if (what != "false")
+        for (const auto& it : { sprungLow, sprungHigh, cymoedd })
+            measureDetection(it, trials);
+    if (what != "detect")
+        for (const auto& it : { sprungLow, cymoedd, cymoeddBusy })
+            measureFalseEjections(it, days);
+}
--- a/include/buckthorncroft/health/cusum.h
+++ b/include/buckthorncroft/health/cusum.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <buckthorncroft/health/evidence.h>
-
 namespace buckthorncroft::health::detail {
 
 /// Log-likelihood ratios of one observation under one alternative hypothesis against the baseline.
@@ -20,8 +18,6 @@
     double partly = 0;
     double hard = 0;
 
-    /// Adds counts with the ratios of both hypotheses.
-    void add(const Counts& counts, const Ratios& partlyRatios, const Ratios& hardRatios);
     /// Multiplies both sums, to let old evidence fade.
     void scale(double factor);
     double score() const { return partly > hard ? partly : hard; }
--- a/include/buckthorncroft/health/evidence_pool.h
+++ b/include/buckthorncroft/health/evidence_pool.h
@@ -5,6 +5,7 @@
 #include <buckthorncroft/health/evidence.h>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,25 +53,39 @@
         base::SteadyTime carriedAt; ///< Time to which `carried` has decayed.
         std::set<ReporterIndex> excluded; ///< Reporters whose path to the target is at fault.
         double baseline = 0; ///< From the last evaluation.
-        bool capped = false; ///< Whether the last evaluation limited the weight of each reporter.
     };
     using SeriesId = std::pair<std::size_t, config::RequestKind>;
 
+    /// Evidence of one reporter or zone about one target.
+    struct Group {
+        Counts counts;
+        std::optional<base::SteadyTime> firstBad; ///< Start of the first window with a bad observation.
+    };
+
     ReporterIndex indexOf(const Reporter& reporter);
+    bool used(const Series& series, ReporterIndex reporter) const;
+    void forgetReporters();
     void dropOld(base::SteadyTime now);
     void findDeviating();
     void setBaselines(base::SteadyTime now);
-    void excludePaths(Series& series, PooledScore& result);
-    PooledScore score(const SeriesId& id, Series& series, base::SteadyTime now);
+    void excludeReporters(Series& series) const;
+    std::string excludeZone(Series& series) const;
+    bool refuted(const Series& series, const Group& group, const std::set<ReporterIndex>& members) const;
+    double cap() const;
+    detail::Cusum accumulate(detail::Cusum start, std::vector<std::pair<ReporterIndex, const Cell*>> cells,
+        double baseline, double cap) const;
+    PooledScore score(const SeriesId& id, Series& series) const;
 
     Settings m_settings;
     Reporter m_self;
     double m_ejectScore = 0;
     std::vector<std::string> m_targets;
-    std::vector<Reporter> m_reporters;
+    std::map<ReporterIndex, Reporter> m_reporters;
     std::map<Reporter, ReporterIndex> m_reporterIndex;
+    ReporterIndex m_nextReporter = 0;
     std::map<SeriesId, Series> m_series;
-    std::set<Reporter> m_ignored;
+    std::set<Reporter> m_ignored; ///< From SelfCheck.
+    std::set<ReporterIndex> m_ignoredHere; ///< Deviating for several targets of this service.
     std::map<Reporter, std::set<std::string>> m_deviating;
     std::uint64_t m_sequence = 0;
 };
--- a/include/buckthorncroft/health/latency_model.h
+++ b/include/buckthorncroft/health/latency_model.h
@@ -17,7 +17,8 @@
     /// Adds the latency of a whole answer.
     void add(std::size_t target, Duration latency);
 
-    /// Recomputes the limits of `targets` targets from the samples; each from the samples of the other targets.
+    /// Recomputes the limits of `targets` targets from the samples, each from the samples of the other targets, when
+    /// enough samples are new.
     void refresh(std::size_t targets);
 
     /// Forgets all samples, for example when target indexes change their meaning.
@@ -37,6 +38,7 @@
     Settings m_settings;
     std::vector<Sample> m_samples; ///< Ring; `m_next` is the oldest once it is full.
     std::size_t m_next = 0;
+    std::size_t m_new = 0; ///< Samples since the limits were computed.
     std::vector<std::optional<Duration>> m_limits;
     std::vector<double> m_scratch;
 };
--- a/include/buckthorncroft/health/service_health.h
+++ b/include/buckthorncroft/health/service_health.h
@@ -74,7 +74,7 @@
     std::vector<TargetView> views(base::SteadyTime now) const;
 
     /// One explanation per target, in the order of the record.
-    std::vector<Explanation> explain(base::SteadyTime now) const;
+    std::vector<Explanation> explain() const;
 
     /// Targets that are in: configured, not Ejected or in Trial, not draining, not down.
     unsigned targetsIn() const;
@@ -104,19 +104,24 @@
     void noteTrial(detail::TargetState& state, config::RequestKind kind, Verdict verdict);
     void scoreOwn(base::SteadyTime now);
     void scorePooled(base::SteadyTime now);
-    void applyScores(base::SteadyTime now);
-    void updateAvoidance(detail::TargetState& state, base::SteadyTime now) const;
+    void judge(detail::TargetState& state, base::SteadyTime now) const;
+    void judgeKind(detail::TargetState& state, std::size_t kind, bool endpoint, base::SteadyTime now) const;
+    void adoptFromPeers(base::SteadyTime now);
     void moveStage(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
-    void leaveSuspect(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
+    void moveTrial(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
     void enterRampUp(
         std::size_t target, Reason reason, Duration length, base::SteadyTime now, std::vector<StageChange>& changes);
     void eject(std::size_t target, Reason reason, base::SteadyTime now, std::vector<StageChange>& changes);
+    void readmit(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
+    void holdBack(std::size_t target, std::vector<StageChange>& changes);
     void change(std::size_t target, Stage to, Reason reason, base::SteadyTime now, std::vector<StageChange>& changes);
-    void adoptFromPeers(base::SteadyTime now, std::vector<StageChange>& changes);
     void applyFloor(base::SteadyTime now, std::vector<StageChange>& changes);
     std::vector<FloorCandidate> candidates(base::SteadyTime now) const;
-    bool available(std::size_t target) const;
+    bool available(const detail::TargetState& state) const { return !state.down && state.drains.empty(); }
     double threshold(const detail::TargetState& state) const;
+    bool hasIdempotentRoute() const;
+    double endpointScore(const detail::TargetState& state, base::SteadyTime now) const;
+    double idempotentWeight(const detail::TargetState& state, base::SteadyTime now) const;
     StageChange describe(std::size_t target) const;
 
     config::Service m_service;
--- a/include/buckthorncroft/health/settings.h
+++ b/include/buckthorncroft/health/settings.h
@@ -13,7 +13,7 @@
     // Evidence.
     Duration window { std::chrono::milliseconds(500) }; ///< Length of one evidence window.
     Duration maxAge { std::chrono::seconds(10) }; ///< Evidence that arrives older than this is dropped.
-    Duration scoreHalfLife { std::chrono::seconds(30) }; ///< Decay of evidence that has left the 10 s of windows.
+    Duration scoreHalfLife { std::chrono::seconds(60) }; ///< Decay of evidence that has left the 10 s of windows.
     Duration pooledMaxAge { std::chrono::seconds(3) }; ///< Pooled scores that are older are not used.
     Duration peerMaxAge { std::chrono::seconds(3) }; ///< Peers' ejected sets that are older are not used.
 
@@ -36,6 +36,11 @@
     double reporterCap = 6; ///< Most that one of many reporters adds to a target's score.
     unsigned pathWitnesses = 12; ///< Concurrent good observations of others that refute one zone's or reporter's.
 
+    double pathBadShare = 0.4; ///< Bad share of a zone's or reporter's evidence that others may refute.
+    double pathGoodShare = 0.05; ///< Largest bad share of the others that refutes it.
+    unsigned deviatingBads = 3; ///< Bad observations that others refute, from which a reporter is deviating.
+    std::size_t maxCells = 8192; ///< Windows kept for one target and kind; more are dropped, which bounds memory.
+
     // Stages.
     double suspectWeight = 0.3; ///< Share of ordinary idempotent work that a suspect target keeps.
     Duration suspectDwell { std::chrono::seconds(2) }; ///< Shortest stay in Suspect.
@@ -46,9 +51,14 @@
     Duration trialMax { std::chrono::seconds(30) }; ///< After this time one good answer is enough, at low rates.
     Duration rampUp { std::chrono::seconds(10) }; ///< Time from the first to the full share after a trial.
     double rampFirstWeight = 0.05; ///< First share during RampUp.
+    double relapseFactor = 0.5; ///< Factor on the ejection threshold during the RampUp after an ejection.
+    double unprovenFirstWeight = 0.02; ///< First share of a kind that was bad and that trials cannot prove.
+    unsigned adoptPeers = 2; ///< Peers that must agree before their ejection is adopted.
+    unsigned coldStartPause = 5; ///< Cold starts of a target are honoured once in this multiple of its cold start time.
     Duration unprovenRampUp { std::chrono::seconds(60) }; ///< RampUp for kinds that a trial cannot prove.
     Duration adoptPeriod { std::chrono::seconds(10) }; ///< Time after start during which peers' ejections are adopted.
-    double endpointScore = 1; ///< Suspicion that one bad answer of a health or load endpoint adds.
+    double endpointScore = 3; ///< Suspicion that one bad answer of a health or load endpoint adds.
+    Duration endpointHalfLife { std::chrono::seconds(10) }; ///< Decay of that suspicion.
     double endpointScoreMax = 6; ///< Endpoints can make a target suspect but never eject it.
 };
 
--- a/include/buckthorncroft/health/target_state.h
+++ b/include/buckthorncroft/health/target_state.h
@@ -44,6 +44,8 @@
     base::SteadyTime coldUntil; ///< Observations before this time are no evidence.
     base::SteadyTime coldAgain; ///< Earliest time of another cold start.
     bool wanted = false; ///< The score asks for an ejection.
+    Reason wantedReason = Reason::OwnEvidence;
+    double wantedScore = 0; ///< Score behind `wanted`; orders targets at the floor.
     bool heldBack = false;
     bool avoidLocally = false;
     bool down = false;
--- /dev/null
+++ b/src/health/evidence_pool.cpp
@@ -0,0 +1,263 @@
+#include <buckthorncroft/health/evidence_pool.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace buckthorncroft::health {
+
+namespace {
+
+    constexpr double negligible = 0.1; ///< A carried score below this is forgotten.
+
+    /// Keeps the larger of each count. Returns whether anything grew.
+    bool grow(Counts& counts, const Counts& other)
+    {
+        const Counts before = counts;
+        counts.good = std::max(counts.good, other.good);
+        counts.slow = std::max(counts.slow, other.slow);
+        counts.bad = std::max(counts.bad, other.bad);
+        return !(counts == before);
+    }
+
+    void addTo(Counts& sum, const Counts& counts)
+    {
+        sum.good += counts.good;
+        sum.slow += counts.slow;
+        sum.bad += counts.bad;
+    }
+
+    double badShareOf(const Counts& counts)
+    {
+        return counts.total() ? static_cast<double>(counts.against()) / counts.total() : 0;
+    }
+
+} // namespace
+
+EvidencePool::EvidencePool(const config::Service& service, Reporter self, Settings settings)
+    : m_settings(settings)
+    , m_self(std::move(self))
+{
+    reconfigure(service);
+}
+
+void EvidencePool::reconfigure(const config::Service& service)
+{
+    std::map<std::string, std::size_t> indexes;
+    std::vector<std::string> targets;
+    for (const auto& it : service.targets) {
+        indexes.emplace(it.id, targets.size());
+        targets.push_back(it.id);
+    }
+    std::map<SeriesId, Series> kept;
+    for (auto& [id, series] : m_series)
+        if (const auto found = indexes.find(m_targets[id.first]); found != indexes.end())
+            kept.emplace(SeriesId { found->second, id.second }, std::move(series));
+    m_series = std::move(kept);
+    m_targets = std::move(targets);
+    m_ejectScore = ejectScore(m_settings, service.bias);
+}
+
+EvidencePool::ReporterIndex EvidencePool::indexOf(const Reporter& reporter)
+{
+    const auto [it, isNew] = m_reporterIndex.emplace(reporter, m_nextReporter);
+    if (isNew)
+        m_reporters.emplace(m_nextReporter++, reporter);
+    return it->second;
+}
+
+std::size_t EvidencePool::merge(const std::vector<EvidenceWindow>& windows, base::SteadyTime now)
+{
+    std::size_t changed = 0;
+    for (const auto& it : windows) {
+        const auto target = std::find(m_targets.begin(), m_targets.end(), it.target);
+        if (target == m_targets.end() || it.age < Duration(0) || it.age > m_settings.maxAge || !it.counts.total())
+            continue;
+        const SeriesId id { static_cast<std::size_t>(target - m_targets.begin()), it.kind };
+        auto& series = m_series[id];
+        const CellKey key { indexOf(it.reporter), it.window };
+        const auto start = now - it.age;
+        const auto found = series.cells.find(key);
+        if (found == series.cells.end()) {
+            if (series.cells.size() >= m_settings.maxCells)
+                continue;
+            series.cells.emplace(key, Cell { start, now, it.counts });
+            ++changed;
+            continue;
+        }
+        // A delayed message makes a window look younger than it is, so the earliest start is the best estimate.
+        found->second.start = std::min(found->second.start, start);
+        if (grow(found->second.counts, it.counts)) {
+            found->second.changed = now;
+            ++changed;
+        }
+    }
+    return changed;
+}
+
+std::vector<EvidenceWindow> EvidencePool::relay(base::SteadyTime since, base::SteadyTime now, std::size_t limit) const
+{
+    std::vector<EvidenceWindow> result;
+    for (const auto& [id, series] : m_series)
+        for (const auto& [key, cell] : series.cells)
+            if (cell.changed >= since && now - cell.start <= m_settings.maxAge)
+                result.push_back({ m_reporters.at(key.first), m_targets[id.first], id.second, key.second,
+                    std::chrono::duration_cast<Duration>(now - cell.start), cell.counts });
+    std::stable_sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
+        return a.counts.against() != b.counts.against() ? a.counts.against() > b.counts.against() : a.age < b.age;
+    });
+    if (result.size() > limit)
+        result.resize(limit);
+    return result;
+}
+
+PooledScores EvidencePool::evaluate(base::SteadyTime now)
+{
+    dropOld(now);
+    findDeviating();
+    setBaselines(now);
+    PooledScores result;
+    result.coordinator = m_self;
+    result.sequence = ++m_sequence;
+    for (auto& [id, series] : m_series) {
+        excludeReporters(series);
+        result.scores.push_back(score(id, series));
+    }
+    std::stable_sort(result.scores.begin(), result.scores.end(),
+        [](const auto& a, const auto& b) { return std::max(a.score, a.pathScore) > std::max(b.score, b.pathScore); });
+    for (const auto& [index, reporter] : m_reporters)
+        if (m_ignoredHere.contains(index) || m_ignored.contains(reporter))
+            result.ignored.push_back(reporter);
+    return result;
+}
+
+bool EvidencePool::used(const Series& series, ReporterIndex reporter) const
+{
+    return !series.excluded.contains(reporter) && !m_ignoredHere.contains(reporter)
+        && (m_ignored.empty() || !m_ignored.contains(m_reporters.at(reporter)));
+}
+
+void EvidencePool::dropOld(base::SteadyTime now)
+{
+    const double halfLife = std::chrono::duration<double>(m_settings.scoreHalfLife).count();
+    for (auto& [id, series] : m_series) {
+        std::vector<std::pair<ReporterIndex, const Cell*>> old;
+        for (const auto& [key, cell] : series.cells)
+            if (now - cell.start > m_settings.maxAge && used(series, key.first))
+                old.emplace_back(key.first, &cell);
+        const double age = std::chrono::duration<double>(now - series.carriedAt).count();
+        series.carried.scale(std::exp2(-age / halfLife));
+        series.carriedAt = now;
+        if (!old.empty())
+            series.carried = accumulate(series.carried, old, series.baseline, cap());
+        std::erase_if(series.cells, [&](const auto& it) { return now - it.second.start > m_settings.maxAge; });
+    }
+    std::erase_if(
+        m_series, [](const auto& it) { return it.second.cells.empty() && it.second.carried.score() < negligible; });
+    forgetReporters();
+}
+
+void EvidencePool::forgetReporters()
+{
+    std::set<ReporterIndex> present;
+    for (const auto& [id, series] : m_series)
+        for (const auto& [key, cell] : series.cells)
+            present.insert(key.first);
+    std::erase_if(m_reporters, [&](const auto& it) { return !present.contains(it.first); });
+    std::erase_if(m_reporterIndex, [&](const auto& it) { return !present.contains(it.second); });
+}
+
+double EvidencePool::cap() const
+{
+    // One or two reporters must be able to decide alone, otherwise a small fleet would never eject.
+    const auto n = m_reporters.size();
+    if (n <= 2)
+        return std::numeric_limits<double>::infinity();
+    return std::max(m_settings.reporterCap, m_ejectScore / static_cast<double>(n - 1));
+}
+
+void EvidencePool::setBaselines(base::SteadyTime now)
+{
+    struct Shares {
+        Counts all;
+        Counts recent;
+    };
+    std::map<config::RequestKind, std::map<std::size_t, Shares>> byKind;
+    for (const auto& [id, series] : m_series) {
+        auto& shares = byKind[id.second][id.first];
+        for (const auto& [key, cell] : series.cells) {
+            if (!used(series, key.first))
+                continue;
+            addTo(shares.all, cell.counts);
+            if (now - cell.start <= m_settings.baselineShort + m_settings.window)
+                addTo(shares.recent, cell.counts);
+        }
+    }
+    const auto medianOfOthers = [&](const SeriesId& id, Counts Shares::*counts) {
+        std::vector<double> values;
+        for (const auto& [target, shares] : byKind[id.second])
+            if (target != id.first && (shares.*counts).total())
+                values.push_back(badShareOf(shares.*counts));
+        // A median of fewer values would be decided by a single other target.
+        constexpr std::size_t minOthers = 3;
+        if (values.size() < minOthers)
+            return 0.0;
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        return *middle;
+    };
+    for (auto& [id, series] : m_series) {
+        const double median = std::max(medianOfOthers(id, &Shares::all), medianOfOthers(id, &Shares::recent));
+        series.baseline = std::clamp(m_settings.baselineMargin * median, m_settings.minBaseline, 0.99);
+    }
+}
+
+detail::Cusum EvidencePool::accumulate(
+    detail::Cusum start, std::vector<std::pair<ReporterIndex, const Cell*>> cells, double baseline, double cap) const
+{
+    std::sort(cells.begin(), cells.end(), [](const auto& a, const auto& b) {
+        return a.second->start != b.second->start ? a.second->start < b.second->start : a.first < b.first;
+    });
+    const double expected = std::max(baseline, m_settings.minBaseline);
+    const auto partly = detail::ratios(m_settings.badShare, expected);
+    const auto hard = detail::ratios(m_settings.hardShare, expected);
+    std::map<ReporterIndex, std::pair<double, double>> given;
+    auto sum = start;
+    for (const auto& [reporter, cell] : cells) {
+        auto& [givenPartly, givenHard] = given[reporter];
+        const double addPartly = std::min(cell->counts.against() * partly.bad, cap - givenPartly);
+        const double addHard = std::min(cell->counts.against() * hard.bad, cap - givenHard);
+        givenPartly += addPartly;
+        givenHard += addHard;
+        sum.partly = std::max(0.0, sum.partly + addPartly + cell->counts.good * partly.good);
+        sum.hard = std::max(0.0, sum.hard + addHard + cell->counts.good * hard.good);
+    }
+    return sum;
+}
+
+PooledScore EvidencePool::score(const SeriesId& id, Series& series) const
+{
+    PooledScore result;
+    result.target = m_targets[id.first];
+    result.kind = id.second;
+    result.baseline = series.baseline;
+    result.pathZone = excludeZone(series);
+    std::vector<std::pair<ReporterIndex, const Cell*>> cells;
+    std::vector<std::pair<ReporterIndex, const Cell*>> path;
+    std::set<ReporterIndex> reporters;
+    for (const auto& [key, cell] : series.cells) {
+        if (used(series, key.first)) {
+            cells.emplace_back(key.first, &cell);
+            reporters.insert(key.first);
+            addTo(result.counts, cell.counts);
+        } else if (m_reporters.at(key.first).zone == result.pathZone)
+            path.emplace_back(key.first, &cell);
+    }
+    result.reporters = static_cast<unsigned>(reporters.size());
+    result.score = accumulate(series.carried, std::move(cells), series.baseline, cap()).score();
+    if (!result.pathZone.empty())
+        result.pathScore = accumulate({}, std::move(path), series.baseline, cap()).score();
+    return result;
+}
+
+} // namespace buckthorncroft::health
