Test the exchange between instances and keep its byte budget

Cause: in a fleet of 12 instances the evidence of the first test did not reach all coordinators: relays sent every window of a zone to two zones, used up the budget, and dropped good counts, which makes a target look worse than it is; windows that arrived at the instant of the last relay were never relayed; membership lost a peer under a one-way partition. Change: only targets with evidence against them are relayed, all their windows or none; relays overlap by 1 ms; live peers are relayed with the age of their own last message; replies carry fewer scores when the budget is used up; the budget counts transport overhead. Conclusion: evidence of a whole zone cannot be relayed unfiltered within 10 KB/s.

--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -36,7 +36,9 @@
     std::chrono::milliseconds exchangeInterval { 500 };
     std::chrono::milliseconds heartbeatInterval { 1000 }; ///< One peer of another zone hears from this instance.
     std::size_t relayedPeers = 6; ///< Peers named in each message.
-    double bytesPerSecond = 10'000; ///< Hard budget of the reports that this instance sends, replies included.
+    /// Hard budget of the reports that this instance sends, replies and transport overhead included. Below the
+    /// 10 KB/s that control may cost, so that a burst within a second stays within it too.
+    double bytesPerSecond = 9000;
     double minRelevantScore = 0.5; ///< Pooled scores below it are not sent; absence means that there is none.
 };
 
@@ -115,12 +117,12 @@
     bool isConfigurationReader(base::SteadyTime now) const;
 
     /// Explanations of all targets of a service; empty for an unknown service.
-    std::vector<health::Explanation> explain(const std::string& service, base::SteadyTime now) const;
+    std::vector<health::Explanation> explain(const std::string& service) const;
 
     /// Names of all services, sorted.
     std::vector<std::string> services() const;
 
-    /// Bytes of reports and replies sent since the start, as encoded, without transport headers.
+    /// Bytes of reports and replies sent since the start, with an estimate of the transport's overhead.
     std::uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
--- a/include/buckthorncroft/membership/membership.h
+++ b/include/buckthorncroft/membership/membership.h
@@ -70,8 +70,8 @@
     /// Number of instances that may hold connections to targets: live and leaving ones, with this instance.
     std::size_t holderCount(base::SteadyTime now) const;
 
-    /// Returns up to `count` peers to relay in a message: those not relayed for the longest time first, only peers
-    /// heard from directly within the contact timeout.
+    /// Returns up to `count` live peers to relay in a message, those not relayed for the longest time first. The age is
+    /// that of the peer's own latest message, so relays cannot keep a dead peer alive by echoing each other.
     std::vector<PeerAge> takeRelay(std::size_t count, base::SteadyTime now);
 
     /// The instance that coordinates `service` in `zone`, or nothing when the zone has no live instance.
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -14,12 +14,19 @@
 
     constexpr double bytesPerMessage = 250; // Peers, sender and transport headers of one message.
     constexpr double bytesPerWindow = 28; // One evidence window, encoded.
-    constexpr std::size_t maxRelayedWindows = 500;
+    constexpr std::size_t maxRelayedWindows = 5000;
+    // Windows that arrived at the time of the last relay are sent again, because some may have come after it.
+    constexpr std::chrono::milliseconds relayOverlap { 1 };
     constexpr std::size_t readersPerZone = 2;
     // The set is repeated for this long after it became empty, so that a lost message does not keep a peer's view old.
     constexpr std::chrono::seconds ejectedRepeat { 5 };
     constexpr std::size_t maxKnownSenders = 10'000;
-    constexpr double burstSeconds = 2;
+    constexpr double burstSeconds = 1;
+    constexpr double transportBytesPerMessage
+        = 120; // Frame, header and packet overhead, so that the budget holds on the wire.
+    // Scores that are sent even when the budget is used up, because they end traffic to failing targets.
+    constexpr std::size_t minScores = 8;
+    constexpr double bytesPerScore = 50;
 
     std::size_t indexOf(const config::Service& service, const std::string& target)
     {
@@ -28,6 +35,25 @@
         return static_cast<std::size_t>(it - service.targets.begin());
     }
 
+    // Keeps the windows of targets that have evidence against them, most suspicious target first, at most `limit`.
+    // All windows of a target are kept or none, because good counts that are left out would make it look worse.
+    std::vector<health::EvidenceWindow> selectForRelay(
+        const std::vector<health::EvidenceWindow>& windows, const health::PooledScores& pooled, std::size_t limit)
+    {
+        std::vector<health::EvidenceWindow> result;
+        for (const auto& score : pooled.scores) {
+            if (!score.counts.against())
+                continue;
+            const auto matches
+                = [&](const health::EvidenceWindow& it) { return it.target == score.target && it.kind == score.kind; };
+            const auto n = static_cast<std::size_t>(std::count_if(windows.begin(), windows.end(), matches));
+            if (result.size() + n > limit)
+                continue;
+            std::copy_if(windows.begin(), windows.end(), std::back_inserter(result), matches);
+        }
+        return result;
+    }
+
 } // namespace
 
 struct ControlState::ServiceState {
@@ -290,9 +316,9 @@
 
 void ControlState::account(const wire::Report& report)
 {
-    const auto bytes = wire::encode(report).size();
-    m_bytesSent += bytes;
-    m_budget -= static_cast<double>(bytes);
+    const auto bytes = static_cast<double>(wire::encode(report).size()) + transportBytesPerMessage;
+    m_bytesSent += static_cast<std::uint64_t>(bytes);
+    m_budget -= bytes;
 }
 
 wire::Report ControlState::makeReport(base::SteadyTime now)
@@ -320,6 +346,8 @@
         std::erase_if(part.pooled->scores, [&](const health::PooledScore& it) {
             return it.score < m_settings.minRelevantScore && it.pathScore < m_settings.minRelevantScore;
         });
+        const auto affordable = static_cast<std::size_t>(std::max(0.0, m_budget) / bytesPerScore);
+        part.pooled->scores.resize(std::min(part.pooled->scores.size(), std::max(minScores, affordable)));
         part.pooledAge = duration_cast<milliseconds>(now - state.pooledAt);
     }
     auto ejected = state.health.ejected();
@@ -375,8 +403,9 @@
     for (auto& [name, state] : m_services) {
         if (!state->coordinator)
             continue;
+        const auto changed = state->pool.relay(state->lastRelay - relayOverlap, now, maxRelayedWindows);
         const auto windows
-            = state->pool.relay(state->lastRelay, now, std::min(maxRelayedWindows, affordableWindows() / 2));
+            = selectForRelay(changed, state->pooled, affordableWindows() / std::max<std::size_t>(1, zones.size()));
         state->lastRelay = now;
         for (const auto& zone : zones) {
             const auto coordinator = m_members.coordinator(name, zone, now);
@@ -486,10 +515,10 @@
     return std::find(readers.begin(), readers.end(), m_reporter.instance) != readers.end();
 }
 
-std::vector<health::Explanation> ControlState::explain(const std::string& service, base::SteadyTime now) const
+std::vector<health::Explanation> ControlState::explain(const std::string& service) const
 {
     const auto it = m_services.find(service);
-    return it == m_services.end() ? std::vector<health::Explanation> {} : it->second->health.explain(now);
+    return it == m_services.end() ? std::vector<health::Explanation> {} : it->second->health.explain();
 }
 
 std::vector<std::string> ControlState::services() const
--- a/src/daemon/status.cpp
+++ b/src/daemon/status.cpp
@@ -33,7 +33,7 @@
         json targets = json::array();
         unsigned in = 0;
         unsigned floor = 0;
-        for (const auto& it : state.explain(service, now)) {
+        for (const auto& it : state.explain(service)) {
             in = it.in;
             floor = it.floor;
             targets.push_back(targetJson(it, now));
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -135,7 +135,7 @@
 {
     std::vector<Entry*> fresh;
     for (auto& [name, entry] : m_entries) {
-        if (entry.heardDirectly && now - *entry.heardDirectly < m_settings.contactTimeout)
+        if (entry.heardAtAll && now - *entry.heardAtAll < m_settings.contactTimeout)
             fresh.push_back(&entry);
     }
     std::stable_sort(
@@ -144,7 +144,7 @@
     std::vector<PeerAge> result;
     for (auto* it : fresh) {
         it->relayedAt = ++m_relayTurn;
-        result.push_back({ it->peer, std::chrono::duration_cast<std::chrono::milliseconds>(now - *it->heardDirectly) });
+        result.push_back({ it->peer, std::chrono::duration_cast<std::chrono::milliseconds>(now - *it->heardAtAll) });
     }
     return result;
 }
--- /dev/null
+++ b/tests/io/control_state_test.cpp
@@ -0,0 +1,254 @@
+#define BOOST_TEST_MODULE ControlState
+#include <boost/test/unit_test.hpp>
+
+#include <buckthorncroft/daemon/control_state.h>
+#include <buckthorncroft/wire/codec.h>
+#include <functional>
+#include <set>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+using daemon::ControlState;
+
+namespace {
+
+constexpr unsigned instancesPerZone = 4;
+
+config::Configuration configuration(std::uint64_t change)
+{
+    config::Configuration result;
+    result.change = change;
+    for (const std::string name : { "bookdesk", "quotebook" }) {
+        config::Service service;
+        service.name = name;
+        service.bias = 1;
+        for (int i = 0; i < 12; ++i) {
+            config::Target target;
+            target.id = name + std::to_string(i);
+            target.host = "127.0.0.1";
+            target.port = static_cast<std::uint16_t>(9000 + i + (name == "bookdesk" ? 0 : 100));
+            target.zone = "z" + std::to_string(i % 3 + 1);
+            service.targets.push_back(target);
+        }
+        result.services.push_back(service);
+    }
+    return result;
+}
+
+// Instances that exchange encoded reports in virtual time. `link` decides whether a message from one to another
+// arrives; a report whose reply is cut still arrives.
+struct Fleet {
+    struct Node {
+        std::string name;
+        std::string address;
+        std::unique_ptr<ControlState> state;
+    };
+
+    explicit Fleet(const daemon::ControlSettings& settings = {})
+    {
+        for (unsigned i = 0; i < 3 * instancesPerZone; ++i) {
+            const membership::Peer self { "e" + std::to_string(i), "z" + std::to_string(i % 3 + 1),
+                "127.0.0.1:" + std::to_string(7000 + i), 100 + i, false };
+            peers.push_back(self);
+            nodes.push_back({ self.instance, self.address, std::make_unique<ControlState>(self, i, settings) });
+        }
+        for (auto& it : nodes) {
+            it.state->applyConfiguration(configuration(1), clock.now());
+            it.state->listed(peers, clock.now());
+        }
+    }
+
+    Node& at(const std::string& address)
+    {
+        for (auto& it : nodes) {
+            if (it.address == address)
+                return it;
+        }
+        BOOST_FAIL("no node at " << address);
+        return nodes.front();
+    }
+
+    void deliver(Node& from, const daemon::OutgoingReport& outgoing)
+    {
+        auto& to = at(outgoing.address);
+        if (!link(from.name, to.name))
+            return;
+        const auto report = wire::decode(wire::encode(outgoing.report));
+        BOOST_REQUIRE(report.has_value());
+        bool accepted = false;
+        auto reply = to.state->handleReport(report.value(), accepted, clock.now());
+        if (duplicate)
+            to.state->handleReport(report.value(), accepted, clock.now());
+        if (!link(to.name, from.name))
+            return;
+        const auto decoded = wire::decode(wire::encode(reply));
+        BOOST_REQUIRE(decoded.has_value());
+        from.state->handleReply(decoded.value(), clock.now());
+    }
+
+    void run(std::chrono::milliseconds time, const std::function<void()>& load = {})
+    {
+        constexpr auto step = 100ms;
+        for (auto passed = 0ms; passed < time; passed += step) {
+            clock.advance(step);
+            if (load)
+                load();
+            for (auto& it : nodes) {
+                it.state->tick(clock.now());
+                for (const auto& report : it.state->takeReports(clock.now()))
+                    deliver(it, report);
+            }
+        }
+    }
+
+    // One attempt at the first target of bookdesk and several at the others, from every instance.
+    void observeAll(health::Verdict first, unsigned per)
+    {
+        ++round;
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            if ((round + n) % per)
+                continue;
+            const auto service = nodes[n].state->snapshot(clock.now())->find("bookdesk")->service;
+            std::vector<daemon::ReportedObservation> observations;
+            for (std::size_t i = 0; i < service->targets.size(); ++i)
+                observations.push_back({ service,
+                    { i, config::RequestKind::Idempotent, i == 0 ? first : health::Verdict::Good, 50ms, 2000ms,
+                        clock.now() } });
+            nodes[n].state->observe(observations);
+        }
+    }
+
+    const health::TargetView& view(const Node& node, std::size_t target)
+    {
+        snapshot = node.state->snapshot(clock.now());
+        return snapshot->find("bookdesk")->targets[target];
+    }
+
+    base::ManualClock clock;
+    std::vector<membership::Peer> peers;
+    std::vector<Node> nodes;
+    std::function<bool(const std::string&, const std::string&)> link = [](const auto&, const auto&) { return true; };
+    std::shared_ptr<const daemon::Snapshot> snapshot;
+    bool duplicate = false;
+    unsigned round = 0;
+};
+
+} // namespace
+
+// Guards against a failing target that keeps traffic on instances which saw little of it themselves.
+BOOST_FIXTURE_TEST_CASE(failingTargetLeavesOnEveryInstance, Fleet)
+{
+    run(3s, [&] { observeAll(health::Verdict::Good, 5); });
+    run(3s, [&] { observeAll(health::Verdict::Error, 5); });
+    for (auto& it : nodes) {
+        const auto& first = view(it, 0);
+        BOOST_TEST((first.stage == health::Stage::Ejected || first.stage == health::Stage::Trial), it.name);
+    }
+}
+
+// Guards against repeated messages that count the same evidence twice.
+// Without a byte budget, because answers to repeated messages use it up and would delay other evidence.
+BOOST_AUTO_TEST_CASE(repeatedReportsChangeNothing)
+{
+    daemon::ControlSettings settings;
+    settings.bytesPerSecond = 1e9;
+    Fleet plainFleet(settings);
+    Fleet repeated(settings);
+    repeated.duplicate = true;
+    for (auto* it : { &plainFleet, &repeated }) {
+        it->run(2s, [&] { it->observeAll(health::Verdict::Good, 5); });
+        it->run(1s, [&] { it->observeAll(health::Verdict::Error, 10); });
+        it->run(3s); // Until every window has reached every coordinator.
+    }
+    for (std::size_t i = 0; i < repeated.nodes.size(); ++i) {
+        const auto plain = plainFleet.nodes[i].state->explain("bookdesk").at(0);
+        const auto doubled = repeated.nodes[i].state->explain("bookdesk").at(0);
+        BOOST_TEST(plain.pooled[0] == doubled.pooled[0]);
+        BOOST_TEST((plain.stage == doubled.stage));
+    }
+}
+
+// Guards against a leaving target that other instances keep using for longer than 3 s after one heard of it.
+BOOST_FIXTURE_TEST_CASE(announcedDrainReachesEveryInstanceWithinThreeSeconds, Fleet)
+{
+    run(3s);
+    const auto service = nodes[0].state->snapshot(clock.now())->find("bookdesk")->service;
+    nodes[0].state->observe(
+        { { service, { 4, config::RequestKind::Idempotent, health::Verdict::Draining, 10ms, 1000ms, clock.now() } } });
+    run(3s);
+    for (auto& it : nodes)
+        BOOST_TEST(view(it, 4).draining, it.name);
+}
+
+// Guards against a drain that ends while the target, as its health endpoint says, is still leaving, and against one
+// that never ends.
+BOOST_FIXTURE_TEST_CASE(drainEndsEverywhereAfterTheTargetIsBack, Fleet)
+{
+    const auto service = nodes[0].state->snapshot(clock.now())->find("bookdesk")->service;
+    nodes[0].state->observe(
+        { { service, { 4, config::RequestKind::Idempotent, health::Verdict::Draining, 10ms, 1000ms, clock.now() } } });
+    auto result = membership::DrainProbe::StillDraining;
+    const auto probe = [&] {
+        for (const auto& it : nodes[0].state->takeDrainProbes(clock.now()))
+            nodes[0].state->drainProbed(it.name, result, clock.now());
+    };
+    run(60s, probe);
+    for (auto& it : nodes)
+        BOOST_TEST(view(it, 4).draining, it.name);
+    result = membership::DrainProbe::Clean;
+    run(60s, probe);
+    for (auto& it : nodes)
+        BOOST_TEST(!view(it, 4).draining, it.name);
+}
+
+// Guards against a one-way partition between two instances that removes one of them from membership.
+BOOST_FIXTURE_TEST_CASE(oneWayPartitionBetweenInstancesKeepsBothLive, Fleet)
+{
+    run(5s);
+    link = [](const std::string& from, const std::string& to) { return !(from == "e0" && to == "e1"); };
+    run(20s);
+    for (auto& it : nodes)
+        BOOST_TEST(it.state->members().live(clock.now()).size() == nodes.size(), it.name);
+}
+
+// Guards against an instance that takes an older configuration, from a stale read or a slow peer.
+BOOST_FIXTURE_TEST_CASE(configurationNeverReverts, Fleet)
+{
+    BOOST_TEST(nodes[0].state->applyConfiguration(configuration(5), clock.now()));
+    BOOST_TEST(!nodes[0].state->applyConfiguration(configuration(4), clock.now()));
+    BOOST_TEST(!nodes[0].state->applyConfiguration(configuration(5), clock.now()));
+    BOOST_TEST(nodes[0].state->change() == 5u);
+    run(3s);
+    unsigned aware = 0;
+    for (auto& it : nodes)
+        aware += it.state->newerAtPeers().change == 5 ? 1 : 0;
+    BOOST_TEST(aware >= 2u);
+}
+
+// Guards against control traffic above the budget of 10 KB/s, also while everything changes.
+BOOST_FIXTURE_TEST_CASE(controlBytesStayWithinTheBudget, Fleet)
+{
+    run(10s, [&] { observeAll(health::Verdict::Error, 1); });
+    std::vector<std::uint64_t> before;
+    for (auto& it : nodes)
+        before.push_back(it.state->bytesSent());
+    run(60s, [&] { observeAll(health::Verdict::Error, 1); });
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+        BOOST_TEST(nodes[i].state->bytesSent() - before[i] < 60u * 10'000u,
+            nodes[i].name << " sent " << nodes[i].state->bytesSent() - before[i]);
+}
+
+// Guards against observations that are counted for another target after the record of a service changed.
+BOOST_FIXTURE_TEST_CASE(observationsFollowTheTargetIdOverAChange, Fleet)
+{
+    const auto old = nodes[0].state->snapshot(clock.now())->find("bookdesk")->service;
+    auto changed = configuration(2);
+    auto& targets = changed.services[0].targets;
+    targets.erase(targets.begin());
+    nodes[0].state->applyConfiguration(changed, clock.now());
+    nodes[0].state->observe(
+        { { old, { 0, config::RequestKind::Idempotent, health::Verdict::Draining, 10ms, 1000ms, clock.now() } },
+            { old, { 5, config::RequestKind::Idempotent, health::Verdict::Draining, 10ms, 1000ms, clock.now() } } });
+    BOOST_TEST(!view(nodes[0], 0).draining);
+    BOOST_TEST(view(nodes[0], 4).draining);
+}
