Add the platform's model, stand-in and HTTP client

Cause: the daemon, the claims and the configuration store need the platform's table, object store and instance list, and tests need its faults. Change: MemoryPlatform models the service with switchable faults (down, slow, read-only, lost answers, delayed commits, stale reads) and rate bounds; standin-platform serves it with cxxtools HTTP; HttpPlatform is its client with one deadline over the whole call and no resend. An error code is taken only from the platform's own error body, so that a gateway's 409 or 503 is not taken for "nothing written". Row versions are never reused after a delete: with reuse, a delayed conditional delete could remove a later holder's claim. Conclusion: the interface of platform.h is served and tested end to end.

--- a/include/buckthorncroft/platform/platform.h
+++ b/include/buckthorncroft/platform/platform.h
@@ -13,7 +13,9 @@
 struct Row {
     std::string key;
     std::string value;
-    std::uint64_t version = 0; ///< Raised by each write of the row; starts at 1.
+    /// Raised by each write of the row. A version of a key is never used again, not even after the row was deleted;
+    /// otherwise a delayed conditional delete could remove the row of a later writer.
+    std::uint64_t version = 0;
 };
 
 /// One conditional write of a transaction. The transaction takes effect only if all conditions hold.
--- /dev/null
+++ b/include/buckthorncroft/platform/platform_endpoint.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <buckthorncroft/platform/memory_platform.h>
+#include <string>
+
+namespace buckthorncroft::platform {
+
+/// An HTTP answer of the platform stand-in.
+struct EndpointAnswer {
+    unsigned status = 200;
+    std::string body; ///< JSON; `{"error": ..., "message": ...}` unless the status is 200.
+};
+
+/// Runs one call of the platform's HTTP interface, which HttpPlatform speaks, on `platform`. `path` names the call, for
+/// example `/table/read`; `body` is JSON. `/control` replaces the faults that it names and answers with all of them.
+/// Malformed input is answered with 400.
+EndpointAnswer serveCall(MemoryPlatform& platform, const std::string& path, const std::string& body);
+
+} // namespace buckthorncroft::platform
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,203 @@
+#include <buckthorncroft/platform/http_platform.h>
+
+#include "platform_json.h"
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace buckthorncroft::platform {
+
+using base::Error;
+using base::ErrorCode;
+using nlohmann::json;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+    constexpr std::size_t maxAnswerBytes = 64u << 20; // Matches the bound of a configuration document.
+
+    /// One HTTP exchange over a fresh connection.
+    class Exchange {
+    public:
+        Exchange()
+            : m_stream(m_context)
+        {
+            m_parser.body_limit(maxAnswerBytes);
+        }
+
+        base::Result<std::string> run(const asio::ip::tcp::endpoint& endpoint, const std::string& path,
+            const std::string& body, std::chrono::milliseconds timeout)
+        {
+            m_request = { beast::http::verb::post, path, 11 };
+            m_request.set(beast::http::field::host, endpoint.address().to_string());
+            m_request.set(beast::http::field::content_type, "application/json");
+            m_request.set(beast::http::field::connection, "close");
+            m_request.body() = body;
+            m_request.prepare_payload();
+            // One expiry for all steps: a platform that answers byte by byte cannot extend the call.
+            m_stream.expires_after(timeout);
+            m_stream.async_connect(endpoint, [this](beast::error_code ec) { connected(ec); });
+            m_context.run();
+            return finish();
+        }
+
+    private:
+        void connected(beast::error_code ec)
+        {
+            m_error = ec;
+            if (ec)
+                return;
+            m_sent = true;
+            beast::http::async_write(
+                m_stream, m_request, [this](beast::error_code writeError, std::size_t) { written(writeError); });
+        }
+
+        void written(beast::error_code ec)
+        {
+            m_error = ec;
+            if (ec)
+                return;
+            beast::http::async_read(m_stream, m_buffer, m_parser,
+                [this](beast::error_code readError, std::size_t) { m_error = readError; });
+        }
+
+        base::Result<std::string> finish()
+        {
+            const auto reason = m_error.message();
+            if (m_error && !m_sent)
+                return Error { ErrorCode::Unavailable, "cannot connect to the platform: " + reason };
+            if (m_error == beast::error::timeout)
+                return Error { ErrorCode::Timeout, "the platform did not answer in time" };
+            if (m_error)
+                return Error { ErrorCode::OutcomeUnknown, "the connection to the platform broke: " + reason };
+            auto answer = m_parser.release();
+            if (answer.result_int() != 200)
+                return errorOf(answer.result_int(), answer.body());
+            return std::move(answer.body());
+        }
+
+        // The code is taken from the platform's own error body. A status without it, for example one from a gateway,
+        // says nothing about whether a write took effect.
+        static Error errorOf(unsigned status, const std::string& body)
+        {
+            const auto parsed = json::parse(body, nullptr, false);
+            const auto field = [&](const char* name) {
+                const bool present = parsed.is_object() && parsed.contains(name) && parsed[name].is_string();
+                return present ? parsed[name].get<std::string>() : std::string();
+            };
+            const auto message = field("message");
+            for (const auto code : { ErrorCode::InvalidArgument, ErrorCode::NotFound, ErrorCode::Conflict,
+                     ErrorCode::LimitExceeded, ErrorCode::Unavailable }) {
+                if (field("error") == base::toString(code))
+                    return { code, message };
+            }
+            return { ErrorCode::OutcomeUnknown, "status " + std::to_string(status) + ": " + message };
+        }
+
+        asio::io_context m_context;
+        beast::tcp_stream m_stream;
+        beast::http::request<beast::http::string_body> m_request;
+        beast::http::response_parser<beast::http::string_body> m_parser;
+        beast::flat_buffer m_buffer;
+        beast::error_code m_error;
+        bool m_sent = false;
+    };
+
+    template <typename T> base::Result<T> valueOf(const char* name, const base::Result<std::string>& answer)
+    {
+        if (!answer)
+            return answer.error();
+        try {
+            return json::parse(answer.value()).at(name).template get<T>();
+        } catch (const json::exception& e) {
+            return Error { ErrorCode::Malformed, e.what() };
+        }
+    }
+
+    base::Result<void> emptyOf(const base::Result<std::string>& answer)
+    {
+        // A 200 from something else than the platform must not pass for a write that took effect.
+        const auto done = valueOf<bool>("done", answer);
+        if (!done)
+            return done.error();
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    // Returns an empty string, which is no valid request, for text that is not UTF-8.
+    std::string dump(const json& request)
+    {
+        try {
+            return request.dump();
+        } catch (const json::exception&) {
+            return {};
+        }
+    }
+
+} // namespace
+
+HttpPlatform::HttpPlatform(std::string host, std::uint16_t port)
+    : m_host(std::move(host))
+    , m_port(port)
+{
+}
+
+base::Result<std::string> HttpPlatform::call(
+    const std::string& path, const std::string& body, std::chrono::milliseconds timeout) const
+{
+    if (body.empty())
+        return Error { ErrorCode::InvalidArgument, "keys and values must be UTF-8" };
+    beast::error_code ec;
+    const auto address = asio::ip::make_address(m_host, ec);
+    if (ec)
+        return Error { ErrorCode::InvalidArgument, "the platform's host is no IP number: " + m_host };
+    if (timeout.count() <= 0)
+        return Error { ErrorCode::Unavailable, "no time is left for the call" };
+    try {
+        return Exchange().run({ address, m_port }, path, body, timeout);
+    } catch (const std::exception& e) {
+        return Error { ErrorCode::OutcomeUnknown, e.what() };
+    }
+}
+
+base::Result<void> HttpPlatform::heartbeat(const ListedInstance& instance, std::chrono::milliseconds timeout)
+{
+    return emptyOf(call("/instances/heartbeat", dump(instance), timeout));
+}
+
+base::Result<Row> HttpPlatform::read(const std::string& key, bool linearizable, std::chrono::milliseconds timeout)
+{
+    return valueOf<Row>(
+        "row", call("/table/read", dump({ { "key", key }, { "linearizable", linearizable } }), timeout));
+}
+
+base::Result<std::vector<Row>> HttpPlatform::scan(
+    const std::string& prefix, std::size_t limit, std::chrono::milliseconds timeout)
+{
+    const auto body = dump({ { "prefix", prefix }, { "limit", limit } });
+    return valueOf<std::vector<Row>>("rows", call("/table/scan", body, timeout));
+}
+
+base::Result<void> HttpPlatform::commit(const std::vector<Write>& writes, std::chrono::milliseconds timeout)
+{
+    return emptyOf(call("/table/commit", dump({ { "writes", writesToJson(writes) } }), timeout));
+}
+
+base::Result<void> HttpPlatform::putObject(
+    const std::string& name, const std::string& content, std::chrono::milliseconds timeout)
+{
+    return emptyOf(call("/objects/put", dump({ { "name", name }, { "content", content } }), timeout));
+}
+
+base::Result<std::string> HttpPlatform::getObject(const std::string& name, std::chrono::milliseconds timeout)
+{
+    return valueOf<std::string>("content", call("/objects/get", dump({ { "name", name } }), timeout));
+}
+
+base::Result<std::vector<ListedInstance>> HttpPlatform::listInstances(std::chrono::milliseconds timeout)
+{
+    return valueOf<std::vector<ListedInstance>>("instances", call("/instances/list", "{}", timeout));
+}
+
+} // namespace buckthorncroft::platform
--- /dev/null
+++ b/src/platform/memory_platform.cpp
@@ -0,0 +1,242 @@
+#include <buckthorncroft/platform/memory_platform.h>
+
+#include <algorithm>
+
+namespace buckthorncroft::platform {
+
+using base::Error;
+using base::ErrorCode;
+
+namespace {
+
+    constexpr std::chrono::seconds historyKept { 60 };
+
+    Error lostAnswer()
+    {
+        return { ErrorCode::OutcomeUnknown, "the answer was lost" };
+    }
+
+} // namespace
+
+MemoryPlatform::MemoryPlatform(const base::Clock& clock, const PlatformLimits& limits, std::uint64_t seed)
+    : m_clock(clock)
+    , m_limits(limits)
+    , m_random(seed)
+{
+    m_writes = { static_cast<double>(limits.writesPerSecond), clock.now() };
+    m_reads = { static_cast<double>(limits.readsPerSecond), clock.now() };
+}
+
+void MemoryPlatform::setFaults(const PlatformFaults& faults)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults = faults;
+}
+
+PlatformFaults MemoryPlatform::faults() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+std::uint64_t MemoryPlatform::commits() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_commits;
+}
+
+bool MemoryPlatform::takeRate(Rate& rate, unsigned perSecond) const
+{
+    if (!perSecond)
+        return true;
+    const auto now = m_clock.now();
+    rate.tokens += std::chrono::duration<double>(now - rate.updated).count() * perSecond;
+    rate.tokens = std::min<double>(rate.tokens, perSecond);
+    rate.updated = now;
+    if (rate.tokens < 1)
+        return false;
+    rate.tokens -= 1;
+    return true;
+}
+
+// Returns the error of a call that is refused without effect.
+std::optional<Error> MemoryPlatform::admit(bool write, std::chrono::milliseconds timeout)
+{
+    runDelayed();
+    if (m_faults.down)
+        return Error { ErrorCode::Unavailable, "the platform is down" };
+    if (write && m_faults.readOnly)
+        return Error { ErrorCode::Unavailable, "the platform is read-only" };
+    if (write ? !takeRate(m_writes, m_limits.writesPerSecond) : !takeRate(m_reads, m_limits.readsPerSecond))
+        return Error { ErrorCode::LimitExceeded, "the platform's rate limit is reached" };
+    if (!write && m_faults.slow > timeout)
+        return Error { ErrorCode::Timeout, "the platform did not answer in time" };
+    return std::nullopt;
+}
+
+void MemoryPlatform::runDelayed()
+{
+    const auto now = m_clock.now();
+    for (std::size_t n = 0; n < m_delayed.size();) {
+        if (m_delayed[n].due > now) {
+            ++n;
+            continue;
+        }
+        const auto writes = std::move(m_delayed[n].writes);
+        m_delayed.erase(m_delayed.begin() + static_cast<std::ptrdiff_t>(n));
+        apply(writes);
+    }
+}
+
+bool MemoryPlatform::apply(const std::vector<Write>& writes)
+{
+    for (const auto& it : writes) {
+        const auto found = m_rows.find(it.key);
+        const bool present = found != m_rows.end() && found->second.back().value;
+        if ((present ? found->second.back().version : 0) != it.expectedVersion)
+            return false;
+    }
+    const auto now = m_clock.now();
+    for (const auto& it : writes) {
+        auto& states = m_rows[it.key];
+        const auto last = states.empty() ? m_forgottenVersion : states.back().version;
+        states.push_back({ now, it.value, last + 1 });
+        while (states.size() > 1 && states[1].since < now - historyKept)
+            states.pop_front();
+    }
+    // Deleted rows are forgotten once no stale read can see them, one key per commit to keep commits short.
+    const auto old = m_rows.upper_bound(writes.empty() ? std::string() : writes.front().key);
+    if (old != m_rows.end() && !old->second.back().value && old->second.back().since < now - historyKept) {
+        m_forgottenVersion = std::max(m_forgottenVersion, old->second.back().version);
+        m_rows.erase(old);
+    }
+    ++m_commits;
+    return true;
+}
+
+base::SteadyTime MemoryPlatform::readTime(bool linearizable) const
+{
+    return linearizable ? m_clock.now() : m_clock.now() - std::min(m_faults.staleReads, { historyKept });
+}
+
+const MemoryPlatform::State* MemoryPlatform::stateAt(const std::deque<State>& states, base::SteadyTime time) const
+{
+    const auto it = std::find_if(states.rbegin(), states.rend(), [&](const State& s) { return s.since <= time; });
+    return it == states.rend() || !it->value ? nullptr : &*it;
+}
+
+base::Result<Row> MemoryPlatform::read(const std::string& key, bool linearizable, std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(false, timeout))
+        return *error;
+    const auto found = m_rows.find(key);
+    const auto* state = found == m_rows.end() ? nullptr : stateAt(found->second, readTime(linearizable));
+    if (!state)
+        return Error { ErrorCode::NotFound, "no row " + key };
+    return Row { key, *state->value, state->version };
+}
+
+base::Result<std::vector<Row>> MemoryPlatform::scan(
+    const std::string& prefix, std::size_t limit, std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(false, timeout))
+        return *error;
+    std::vector<Row> rows;
+    for (auto it = m_rows.lower_bound(prefix); it != m_rows.end() && it->first.starts_with(prefix); ++it) {
+        if (rows.size() == limit)
+            break;
+        if (const auto* state = stateAt(it->second, readTime(false)))
+            rows.push_back({ it->first, *state->value, state->version });
+    }
+    return rows;
+}
+
+base::Result<void> MemoryPlatform::commit(const std::vector<Write>& writes, std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(true, timeout))
+        return *error;
+    if (m_faults.delayCommits) {
+        --m_faults.delayCommits;
+        m_delayed.push_back({ m_clock.now() + m_faults.commitDelay, writes });
+        return Error { ErrorCode::Timeout, "the platform did not answer in time" };
+    }
+    const bool applied = apply(writes);
+    if (m_faults.slow > timeout)
+        return Error { ErrorCode::Timeout, "the platform did not answer in time" };
+    if (!applied)
+        return Error { ErrorCode::Conflict, "a condition did not hold" };
+    if (m_faults.loseAnswers) {
+        --m_faults.loseAnswers;
+        return lostAnswer();
+    }
+    if (std::uniform_real_distribution<>()(m_random) < m_faults.loseShare)
+        return lostAnswer();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+base::Result<void> MemoryPlatform::putObject(
+    const std::string& name, const std::string& content, std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(true, timeout))
+        return *error;
+    const auto [it, added] = m_objects.emplace(name, content);
+    if (!added && it->second != content)
+        return Error { ErrorCode::Conflict, "the object exists with other content" };
+    if (m_faults.slow > timeout)
+        return Error { ErrorCode::Timeout, "the platform did not answer in time" };
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+base::Result<std::string> MemoryPlatform::getObject(const std::string& name, std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(false, timeout))
+        return *error;
+    const auto it = m_objects.find(name);
+    if (it == m_objects.end())
+        return Error { ErrorCode::NotFound, "no object " + name };
+    return it->second;
+}
+
+base::Result<void> MemoryPlatform::heartbeat(const ListedInstance& instance, std::chrono::milliseconds)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_faults.down)
+        return Error { ErrorCode::Unavailable, "the platform is down" };
+    const auto now = m_clock.now();
+    auto& member = m_members[instance.instance];
+    // An instance that comes back after its entry expired shows again only after the lag.
+    if (member.lastHeartbeat + m_limits.heartbeatExpiry < now)
+        member.states.clear();
+    member.lastHeartbeat = now;
+    const auto* last = member.states.empty() ? nullptr : &member.states.back().entry;
+    if (!last || last->zone != instance.zone || last->address != instance.address || last->leaving != instance.leaving)
+        member.states.push_back({ now, instance });
+    while (member.states.size() > 1 && member.states[1].since + m_limits.listLag <= now)
+        member.states.pop_front();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+base::Result<std::vector<ListedInstance>> MemoryPlatform::listInstances(std::chrono::milliseconds timeout)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto error = admit(false, timeout))
+        return *error;
+    const auto visible = m_clock.now() - m_limits.listLag;
+    std::vector<ListedInstance> result;
+    for (const auto& [name, member] : m_members) {
+        if (member.lastHeartbeat + m_limits.heartbeatExpiry < visible)
+            continue;
+        const auto it = std::find_if(
+            member.states.rbegin(), member.states.rend(), [&](const ListState& s) { return s.since <= visible; });
+        if (it != member.states.rend())
+            result.push_back(it->entry);
+    }
+    return result;
+}
+
+} // namespace buckthorncroft::platform
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,127 @@
+#include <boost/program_options.hpp>
+#include <buckthorncroft/platform/platform_endpoint.h>
+#include <csignal>
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+#include <fmt/core.h>
+#include <thread>
+
+// Imitates the platform's service for tests and scenarios. Serves loopback only and keeps everything in memory.
+
+namespace {
+
+using namespace buckthorncroft;
+
+class PlatformResponder final : public cxxtools::http::Responder {
+public:
+    PlatformResponder(cxxtools::http::Service& service, platform::MemoryPlatform& model)
+        : Responder(service)
+        , m_model(model)
+    {
+    }
+
+    void reply(std::ostream& out, cxxtools::http::Request& request, cxxtools::http::Reply& reply) override
+    {
+        // The call runs first and is answered late, so that a client that gives up meanwhile meets a write that took
+        // effect. The control call is never delayed.
+        const auto slow = m_model.faults().slow;
+        const auto answer = platform::serveCall(m_model, request.url(), request.bodyStr());
+        if (slow.count() > 0 && request.url() != "/control")
+            std::this_thread::sleep_for(slow);
+        reply.httpReturn(answer.status, answer.status == 200 ? "OK" : "Error");
+        reply.setHeader("Content-Type", "application/json");
+        out << answer.body;
+    }
+
+private:
+    platform::MemoryPlatform& m_model;
+};
+
+class PlatformService final : public cxxtools::http::Service {
+public:
+    explicit PlatformService(platform::MemoryPlatform& model)
+        : m_model(model)
+    {
+    }
+
+protected:
+    cxxtools::http::Responder* createResponder(const cxxtools::http::Request&) override
+    {
+        return new PlatformResponder(*this, m_model);
+    }
+    void releaseResponder(cxxtools::http::Responder* responder) override { delete responder; }
+
+private:
+    platform::MemoryPlatform& m_model;
+};
+
+cxxtools::EventLoop* runningLoop = nullptr;
+
+int serve(const std::string& host, unsigned short port, unsigned threads, const platform::PlatformLimits& limits)
+{
+    const base::SystemClock clock;
+    platform::MemoryPlatform model(clock, limits);
+    cxxtools::EventLoop loop;
+    cxxtools::http::Server server(loop, host, port);
+    // A slow call holds its thread, so there must be more threads than calls in flight.
+    server.minThreads(4);
+    server.maxThreads(threads);
+    PlatformService service(model);
+    server.addService(cxxtools::Regex("^/"), service);
+    runningLoop = &loop;
+    const auto stop = [](int) { runningLoop->exit(); };
+    std::signal(SIGTERM, stop);
+    std::signal(SIGINT, stop);
+    fmt::print(stderr, "level=info event=listening address={}:{}\n", host, port);
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    std::string host;
+    unsigned short port = 0;
+    unsigned threads = 0;
+    platform::PlatformLimits limits;
+    unsigned lag = 0;
+    unsigned expiry = 0;
+    po::options_description options("standin-platform");
+    options.add_options()("help", "print this help")("host", po::value(&host)->default_value("127.0.0.1"),
+        "loopback address to listen on")("port", po::value(&port)->default_value(7600), "port")(
+        "threads", po::value(&threads)->default_value(100), "calls that run at the same time")("writes-per-second",
+        po::value(&limits.writesPerSecond)->default_value(500), "writes above this rate are refused; 0: no bound")(
+        "reads-per-second", po::value(&limits.readsPerSecond)->default_value(2000),
+        "reads above this rate are refused; 0: no bound")("list-lag-ms", po::value(&lag)->default_value(2000),
+        "delay of changes of the instance list")("heartbeat-expiry-ms", po::value(&expiry)->default_value(10000),
+        "silence after which an instance leaves the list");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, options), values);
+        po::notify(values);
+        if (values.count("help")) {
+            std::fputs(fmt::format("{}", (std::ostringstream() << options).str()).c_str(), stdout);
+            return 0;
+        }
+        if (!host.starts_with("127.")) {
+            fmt::print(stderr, "--host must be a loopback address\n");
+            return 2;
+        }
+        limits.listLag = std::chrono::milliseconds(lag);
+        limits.heartbeatExpiry = std::chrono::milliseconds(expiry);
+        return serve(host, port, threads, limits);
+    } catch (const po::error& e) {
+        fmt::print(stderr, "{}\n", e.what());
+        return 2;
+    } catch (const std::exception& e) {
+        fmt::print(stderr, "level=error event=failed reason=\"{}\"\n", e.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/io/http_platform_test.cpp
@@ -0,0 +1,106 @@
+#define BOOST_TEST_MODULE HttpPlatform
+#include <boost/test/unit_test.hpp>
+
+#include "platform_server.h"
+#include <boost/asio/write.hpp>
+#include <buckthorncroft/platform/http_platform.h>
+#include <buckthorncroft/platform/platform_endpoint.h>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+using tests::OneShotServer;
+
+namespace {
+
+const std::vector<platform::Write> oneRow { { "a", "1", 0 } };
+
+// The code of a commit against a server that answers with `raw` and closes.
+ErrorCode commitCode(const std::string& raw)
+{
+    OneShotServer server([&](auto& socket, const auto&) { tests::writeRaw(socket, raw); });
+    platform::HttpPlatform client("127.0.0.1", server.port());
+    const auto result = client.commit(oneRow, 5s);
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(server.requests() == 1u);
+    return result.error().code;
+}
+
+} // namespace
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(ErrorCode)
+
+// Guards against client and service that disagree about a call or a field.
+BOOST_AUTO_TEST_CASE(allCallsReachThePlatform)
+{
+    const base::SystemClock clock;
+    platform::MemoryPlatform model(clock);
+    OneShotServer server([&](auto& socket, const auto& request) {
+        const auto answer = platform::serveCall(model, std::string(request.target()), request.body());
+        tests::writeRaw(socket,
+            "HTTP/1.1 " + std::to_string(answer.status) + " X\r\nContent-Length: " + std::to_string(answer.body.size())
+                + "\r\n\r\n" + answer.body);
+    });
+    platform::HttpPlatform client("127.0.0.1", server.port());
+    BOOST_TEST((client.read("a", true, 5s).error().code == ErrorCode::NotFound));
+    BOOST_REQUIRE(client.commit({ { "a", "ü\n", 0 }, { "b", "2", 0 } }, 5s));
+    BOOST_TEST((client.commit(oneRow, 5s).error().code == ErrorCode::Conflict));
+    const auto row = client.read("a", false, 5s);
+    BOOST_REQUIRE(row);
+    BOOST_TEST(row.value().value == "ü\n");
+    BOOST_REQUIRE(client.commit({ { "a", std::nullopt, row.value().version } }, 5s));
+    const auto rows = client.scan("", 10, 5s);
+    BOOST_REQUIRE(rows);
+    BOOST_TEST(rows.value().size() == 1u);
+    BOOST_TEST(rows.value().at(0).key == "b");
+    BOOST_REQUIRE(client.putObject("o", "content", 5s));
+    BOOST_TEST(client.getObject("o", 5s).value() == "content");
+    BOOST_REQUIRE(client.heartbeat({ "i1", "z1", "127.0.0.1:1", true }, 5s));
+    const auto list = client.listInstances(5s);
+    BOOST_REQUIRE(list);
+    BOOST_REQUIRE(list.value().size() == 1u);
+    BOOST_TEST(list.value().at(0).leaving);
+    BOOST_TEST(platform::serveCall(model, "/control", R"({"down": true})").status == 200u);
+    BOOST_TEST(platform::serveCall(model, "/control", R"({"donw": true})").status == 400u);
+    BOOST_TEST((client.commit(oneRow, 5s).error().code == ErrorCode::Unavailable));
+    BOOST_TEST((client.commit({ { "\xff", "1", 0 } }, 5s).error().code == ErrorCode::InvalidArgument));
+}
+
+// Guards against a refused connection that is taken for a write that may have run, which would block callers.
+BOOST_AUTO_TEST_CASE(refusedConnectionIsUnavailable)
+{
+    std::uint16_t port = 0;
+    {
+        const OneShotServer server([](auto&, const auto&) {});
+        port = server.port();
+    }
+    platform::HttpPlatform client("127.0.0.1", port);
+    BOOST_TEST((client.commit(oneRow, 5s).error().code == ErrorCode::Unavailable));
+}
+
+// Guards against a broken, truncated or foreign answer that is taken for "not written", and against a second send.
+BOOST_AUTO_TEST_CASE(brokenAnswersLeaveTheOutcomeUnknown)
+{
+    BOOST_TEST((commitCode("") == ErrorCode::OutcomeUnknown));
+    BOOST_TEST((commitCode("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{}") == ErrorCode::OutcomeUnknown));
+    BOOST_TEST((commitCode("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n<p/>") == ErrorCode::Malformed));
+    BOOST_TEST((commitCode("garbage\r\n\r\n") == ErrorCode::OutcomeUnknown));
+    BOOST_TEST((commitCode("HTTP/1.1 503 Gateway\r\nContent-Length: 4\r\n\r\nbusy") == ErrorCode::OutcomeUnknown));
+    BOOST_TEST((commitCode("HTTP/1.1 409 Gateway\r\nContent-Length: 0\r\n\r\n") == ErrorCode::OutcomeUnknown));
+}
+
+// Guards against a timeout per read, which a platform that answers byte by byte would extend without end.
+BOOST_AUTO_TEST_CASE(slowBytesDoNotExtendTheDeadline)
+{
+    std::atomic<bool> ended = false;
+    OneShotServer server([&](auto& socket, const auto&) {
+        tests::writeRaw(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        while (!ended) {
+            tests::writeRaw(socket, " ");
+            std::this_thread::sleep_for(5ms);
+        }
+    });
+    platform::HttpPlatform client("127.0.0.1", server.port());
+    BOOST_TEST((client.commit(oneRow, 100ms).error().code == ErrorCode::Timeout));
+    ended = true;
+}
