--- a/src/outcome/request_outcome.cpp
+++ b/src/outcome/request_outcome.cpp
@@ -1,5 +1,7 @@
 #include <buckthorncroft/outcome/request_outcome.h>
 
+#include <algorithm>
+
 namespace buckthorncroft::outcome {
 
 const char* toString(Outcome outcome)
@@ -17,35 +19,70 @@
 
 RequestOutcome::AttemptId RequestOutcome::startAttempt()
 {
-    return m_attempts++;
+    m_attempts.push_back(State::Started);
+    return m_attempts.size() - 1;
+}
+
+// Returns null, and counts a misuse, for an attempt that was never started.
+RequestOutcome::State* RequestOutcome::find(AttemptId attempt)
+{
+    if (attempt < m_attempts.size())
+        return &m_attempts[attempt];
+    ++m_misuses;
+    return nullptr;
+}
+
+void RequestOutcome::bytesSent(AttemptId attempt)
+{
+    auto* state = find(attempt);
+    if (state && *state != State::Answered)
+        *state = State::Sent;
+}
+
+void RequestOutcome::refusedNotRun(AttemptId attempt)
+{
+    auto* state = find(attempt);
+    if (!state)
+        return;
+    if (*state == State::Sent)
+        *state = State::Refused;
+    else if (*state == State::Started)
+        ++m_misuses;
 }
 
-void RequestOutcome::bytesSent(AttemptId)
+void RequestOutcome::answered(AttemptId attempt)
 {
-    ++m_mayHaveRun;
+    auto* state = find(attempt);
+    if (!state)
+        return;
+    if (*state == State::Started)
+        ++m_misuses;
+    else
+        *state = State::Answered;
 }
 
-void RequestOutcome::refusedNotRun(AttemptId)
+bool RequestOutcome::mayHaveRun() const
 {
-    if (m_mayHaveRun)
-        --m_mayHaveRun;
+    return m_misuses > 0 || std::any_of(m_attempts.begin(), m_attempts.end(), [](State it) {
+        return it == State::Sent || it == State::Answered;
+    });
 }
 
-void RequestOutcome::answered(AttemptId)
+bool RequestOutcome::wasAnswered() const
 {
-    m_answered = true;
+    return std::find(m_attempts.begin(), m_attempts.end(), State::Answered) != m_attempts.end();
 }
 
 bool RequestOutcome::mayRunAgain() const
 {
-    return !m_answered && m_mayHaveRun == 0;
+    return !mayHaveRun();
 }
 
 Outcome RequestOutcome::outcome() const
 {
-    if (m_answered)
+    if (wasAnswered())
         return Outcome::Completed;
-    return m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    return mayHaveRun() ? Outcome::Unknown : Outcome::NotRun;
 }
 
 } // namespace buckthorncroft::outcome
