Add claims in the platform's table

Cause: a caller's retry with the same idempotency key may reach another instance; only the platform's table is shared by all of them. Change: TableClaimService runs ClaimMachine over Platform with a bounded pool. A full pool or a used-up write share answers Unavailable at once; a claim whose deadline passes in the queue ends as well. Cleanup has its own thread, so that it never delays claims.

--- /dev/null
+++ b/src/platform/claim_row.cpp
@@ -0,0 +1,119 @@
+#include <buckthorncroft/platform/claim_row.h>
+
+#include <buckthorncroft/config/parse.h>
+#include <cctype>
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace buckthorncroft::platform {
+
+using nlohmann::json;
+
+namespace {
+
+    // Callers choose the key, so bytes that the table's interface cannot carry are escaped.
+    std::string escaped(const std::string& text)
+    {
+        std::string result;
+        for (const unsigned char c : text) {
+            if (std::isalnum(c) || c == '-' || c == '_' || c == '.')
+                result += static_cast<char>(c);
+            else
+                result += fmt::format("%{:02X}", c);
+        }
+        return result;
+    }
+
+    // Answers of targets may hold any bytes, which JSON strings cannot.
+    std::string encode(const std::string& bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const auto n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(n));
+        return text;
+    }
+
+    std::optional<std::string> decode(const std::string& text)
+    {
+        std::string bytes(text.size(), '\0');
+        const auto n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+            reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+        if (n < 0)
+            return std::nullopt;
+        // The decoder counts the padding as bytes.
+        const auto padding = text.ends_with("==") ? 2u : text.ends_with('=') ? 1u : 0u;
+        bytes.resize(static_cast<std::size_t>(n) - padding);
+        return bytes;
+    }
+
+    json answerToJson(const outcome::RecordedAnswer& answer)
+    {
+        auto headers = json::array();
+        for (const auto& [name, value] : answer.headers)
+            headers.push_back({ encode(name), encode(value) });
+        return { { "status", answer.status }, { "headers", headers }, { "body", encode(answer.body) },
+            { "body_recorded", answer.bodyRecorded } };
+    }
+
+    std::optional<outcome::RecordedAnswer> answerFromJson(const json& value)
+    {
+        outcome::RecordedAnswer answer;
+        value.at("status").get_to(answer.status);
+        value.at("body_recorded").get_to(answer.bodyRecorded);
+        const auto body = decode(value.at("body"));
+        if (!body)
+            return std::nullopt;
+        answer.body = *body;
+        for (const auto& it : value.at("headers")) {
+            const auto headerName = decode(it.at(0));
+            const auto headerValue = decode(it.at(1));
+            if (!headerName || !headerValue)
+                return std::nullopt;
+            answer.headers.emplace_back(*headerName, *headerValue);
+        }
+        return answer;
+    }
+
+} // namespace
+
+std::string claimKey(const outcome::ClaimRequest& request)
+{
+    const auto name = escaped(request.service) + "/" + escaped(request.key);
+    return claimPrefix + config::contentDigest(name) + "/" + name;
+}
+
+std::string formatClaim(const outcome::ClaimRow& row)
+{
+    const auto created = std::chrono::duration_cast<std::chrono::milliseconds>(row.created.time_since_epoch());
+    json value { { "holder", row.holder }, { "token", row.token }, { "request", row.requestDigest },
+        { "created_ms", created.count() }, { "state", row.answer ? "completed" : "claimed" } };
+    if (row.answer)
+        value["answer"] = answerToJson(*row.answer);
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<outcome::ClaimRow> parseClaim(const std::string& text)
+{
+    try {
+        const auto value = json::parse(text);
+        outcome::ClaimRow row;
+        value.at("holder").get_to(row.holder);
+        value.at("token").get_to(row.token);
+        value.at("request").get_to(row.requestDigest);
+        row.created = base::WallTime(std::chrono::milliseconds(value.at("created_ms").get<std::int64_t>()));
+        if (value.at("state") == "completed") {
+            row.answer = answerFromJson(value.at("answer"));
+            if (!row.answer)
+                return std::nullopt;
+        } else if (value.at("state") != "claimed") {
+            return std::nullopt;
+        }
+        return row;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace buckthorncroft::platform
--- /dev/null
+++ b/tests/io/table_claim_service_test.cpp
@@ -0,0 +1,231 @@
+#define BOOST_TEST_MODULE TableClaimService
+#include <boost/test/unit_test.hpp>
+
+#include "forwarding_platform.h"
+#include <buckthorncroft/platform/claim_row.h>
+#include <buckthorncroft/platform/memory_platform.h>
+#include <buckthorncroft/platform/table_claim_service.h>
+#include <condition_variable>
+#include <future>
+#include <rapidcheck.h>
+#include <thread>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+using outcome::ClaimRequest;
+using outcome::ClaimResult;
+using outcome::ClaimStatus;
+using platform::TableClaimService;
+
+namespace {
+
+const ClaimRequest booking { "bookdesk", "key 1/\xff", "digest" };
+
+platform::ClaimServiceSettings settings(const std::string& holder)
+{
+    platform::ClaimServiceSettings result;
+    result.holder = holder;
+    result.fleetSweepPause = 0s;
+    result.fleetWritesPerSecond = 100000;
+    result.times.firstPause = 10ms;
+    result.times.longestPause = 20ms;
+    return result;
+}
+
+std::future<ClaimResult> start(TableClaimService& service, const ClaimRequest& request, std::chrono::seconds time = 4s)
+{
+    auto promise = std::make_shared<std::promise<ClaimResult>>();
+    service.acquire(request, std::chrono::steady_clock::now() + time,
+        [promise](ClaimResult result) { promise->set_value(std::move(result)); });
+    return promise->get_future();
+}
+
+ClaimResult acquire(TableClaimService& service, const ClaimRequest& request)
+{
+    return start(service, request).get();
+}
+
+// Waits for something that happens in the background.
+template <typename Condition> bool eventually(Condition condition)
+{
+    for (unsigned n = 0; n < 1000; ++n) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(10ms);
+    }
+    return false;
+}
+
+// Blocks each commit until it is opened.
+class BlockingPlatform final : public tests::ForwardingPlatform {
+public:
+    using ForwardingPlatform::ForwardingPlatform;
+
+    void open()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_open = true;
+        m_changed.notify_all();
+    }
+    void waitUntilBlocked()
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [&] { return m_blocked > 0; });
+    }
+    base::Result<void> commit(const std::vector<platform::Write>& writes, std::chrono::milliseconds t) override
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_blocked;
+        m_changed.notify_all();
+        m_changed.wait(lock, [&] { return m_open; });
+        return ForwardingPlatform::commit(writes, t);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_open = false;
+    unsigned m_blocked = 0;
+};
+
+struct Fixture {
+    base::SystemClock clock;
+    platform::MemoryPlatform model { clock };
+};
+
+} // namespace
+
+// Guards against a caller's retry through another instance that runs a second time.
+BOOST_FIXTURE_TEST_CASE(retryThroughAnotherInstanceDoesNotRun, Fixture)
+{
+    TableClaimService first(model, clock, settings("i1"), 1);
+    TableClaimService second(model, clock, settings("i2"), 1);
+    const auto held = acquire(first, booking);
+    BOOST_REQUIRE((held.status == ClaimStatus::Held));
+    BOOST_TEST((acquire(second, booking).status == ClaimStatus::InProgress));
+    BOOST_TEST((acquire(second, { "bookdesk", booking.key, "other" }).status == ClaimStatus::DigestMismatch));
+    const outcome::RecordedAnswer answer { 201, { { "Location", "/b/1" } }, std::string("\0\xff booked", 9), true };
+    first.complete(booking, held.token, answer);
+    BOOST_REQUIRE(eventually([&] { return acquire(second, booking).status == ClaimStatus::Replay; }));
+    const auto replay = acquire(second, booking);
+    BOOST_TEST(replay.answer.value().body == answer.body);
+    BOOST_TEST(replay.answer.value().headers.at(0).second == "/b/1");
+    first.release(booking, held.token); // Too late: the request ran.
+    BOOST_TEST((acquire(second, booking).status == ClaimStatus::Replay));
+}
+
+// Guards against a key that stays blocked after its request certainly did not run, also through an outage.
+BOOST_FIXTURE_TEST_CASE(releasedKeyBecomesFreeAfterAnOutage, Fixture)
+{
+    TableClaimService service(model, clock, settings("i1"), 1);
+    const auto held = acquire(service, booking);
+    BOOST_REQUIRE((held.status == ClaimStatus::Held));
+    model.setFaults({ .down = true });
+    service.release(booking, held.token);
+    BOOST_TEST((acquire(service, booking).status == ClaimStatus::Unavailable));
+    model.setFaults({});
+    BOOST_TEST(eventually([&] { return acquire(service, booking).status == ClaimStatus::Held; }));
+}
+
+// Guards against lost answers that make two instances hold one key, or that block a key that nobody holds.
+BOOST_FIXTURE_TEST_CASE(lostAnswersLeaveOneHolderForEachKey, Fixture)
+{
+    model.setFaults({ .loseShare = 0.4 });
+    std::vector<std::unique_ptr<TableClaimService>> services;
+    for (unsigned n = 0; n < 4; ++n)
+        services.push_back(std::make_unique<TableClaimService>(model, clock, settings("i" + std::to_string(n)), n));
+    for (unsigned key = 0; key < 50; ++key) {
+        std::vector<std::future<ClaimResult>> results;
+        for (unsigned n = 0; n < 12; ++n)
+            results.push_back(start(*services[n % 4], { "bookdesk", std::to_string(key), "digest" }));
+        unsigned held = 0;
+        for (auto& it : results)
+            held += it.get().status == ClaimStatus::Held ? 1 : 0;
+        BOOST_TEST(held == 1u);
+    }
+}
+
+// Guards against a slow platform that takes all of an instance's memory or makes callers wait beyond their deadline.
+BOOST_FIXTURE_TEST_CASE(fullPoolRefusesAtOnce, Fixture)
+{
+    BlockingPlatform blocking(model);
+    auto limits = settings("i1");
+    limits.threads = 1;
+    limits.queueLimit = 1;
+    TableClaimService service(blocking, clock, limits, 1);
+    auto running = start(service, { "s", "1", "d" }, 60s);
+    blocking.waitUntilBlocked();
+    auto waiting = start(service, { "s", "2", "d" }, 1s);
+    auto refused = start(service, { "s", "3", "d" }, 60s);
+    BOOST_REQUIRE((refused.wait_for(0s) == std::future_status::ready));
+    BOOST_TEST((refused.get().status == ClaimStatus::Unavailable));
+    BOOST_TEST(service.counters().refusedBusy == 1u);
+    BOOST_TEST((waiting.get().status == ClaimStatus::Unavailable)); // Its deadline passed in the queue.
+    blocking.open();
+    BOOST_TEST((running.get().status == ClaimStatus::Held));
+}
+
+// Guards against a stop that leaves callers without a result.
+BOOST_FIXTURE_TEST_CASE(stopGivesEachClaimItsResult, Fixture)
+{
+    BlockingPlatform blocking(model);
+    auto limits = settings("i1");
+    limits.threads = 1;
+    std::vector<std::future<ClaimResult>> results;
+    {
+        TableClaimService service(blocking, clock, limits, 1);
+        for (unsigned n = 0; n < 5; ++n)
+            results.push_back(start(service, { "s", std::to_string(n), "d" }, 60s));
+        blocking.waitUntilBlocked();
+        blocking.open();
+    }
+    for (auto& it : results)
+        BOOST_TEST((it.wait_for(0s) == std::future_status::ready));
+}
+
+// Guards against an instance that writes more than its share of what the platform accepts.
+BOOST_FIXTURE_TEST_CASE(claimsBeyondTheWriteShareAreRefused, Fixture)
+{
+    auto limits = settings("i1");
+    limits.fleetWritesPerSecond = 0.001;
+    TableClaimService service(model, clock, limits, 1);
+    BOOST_TEST((acquire(service, { "s", "1", "d" }).status == ClaimStatus::Held));
+    BOOST_TEST((acquire(service, { "s", "2", "d" }).status == ClaimStatus::Unavailable));
+    BOOST_TEST(service.counters().refusedBudget == 1u);
+}
+
+// Guards against a table that grows without end, and against a sweep that removes claims within their retention.
+BOOST_FIXTURE_TEST_CASE(sweepRemovesExpiredRowsOnly, Fixture)
+{
+    std::size_t old = 0;
+    for (unsigned n = 0; n < 400; ++n) {
+        const auto age = n % 4 ? 25h : 23h;
+        old += n % 4 ? 1 : 0;
+        const outcome::ClaimRow row { "i", "t", "d", clock.wallNow() - age, std::nullopt };
+        BOOST_REQUIRE(model.commit(
+            { { platform::claimKey({ "s", std::to_string(n), "" }), platform::formatClaim(row), 0 } }, 1s));
+    }
+    TableClaimService service(model, clock, settings("i1"), 1);
+    std::size_t removed = 0;
+    for (unsigned n = 0; n < 500; ++n)
+        removed += service.sweep();
+    BOOST_TEST(removed == old);
+    BOOST_TEST(model.scan(platform::claimPrefix, 1000, 1s).value().size() == 400u - old);
+}
+
+// Guards against an answer that changes on its way through the table, and against a crash on a damaged row.
+BOOST_AUTO_TEST_CASE(rowsKeepAnyBytes)
+{
+    BOOST_TEST(rc::check([](const std::string& body, const std::string& value, unsigned short status) {
+        outcome::ClaimRow row { "i", "t", "d", base::WallTime(5ms),
+            outcome::RecordedAnswer { status, {}, body, true } };
+        row.answer->headers.emplace_back("X", value);
+        const auto text = platform::formatClaim(row);
+        const auto parsed = platform::parseClaim(text);
+        RC_ASSERT(parsed.has_value());
+        RC_ASSERT(parsed->answer->body == body);
+        RC_ASSERT(parsed->answer->headers.at(0).second == value);
+        RC_ASSERT(parsed->created == row.created);
+        RC_ASSERT(!platform::parseClaim(text.substr(0, text.size() / 2)).has_value());
+    }));
+}
