Add the operators' client and join control plane, claims and traffic in the daemon

Cause: the daemon served from a file only; operators had no client. Conclusion: one process has the whole path and its control.

--- a/include/buckthorncroft/daemon/control_plane.h
+++ b/include/buckthorncroft/daemon/control_plane.h
@@ -7,6 +7,7 @@
 #include <buckthorncroft/daemon/snapshot.h>
 #include <buckthorncroft/observe/log.h>
 #include <buckthorncroft/observe/metrics.h>
+#include <buckthorncroft/platform/configuration_store.h>
 #include <buckthorncroft/platform/platform.h>
 #include <chrono>
 #include <cstdint>
@@ -16,27 +17,13 @@
 
 namespace buckthorncroft::daemon {
 
-/// Where the authoritative configuration is read. Calls block until `timeout`; used by the platform thread only.
-class ConfigurationSource {
-public:
-    ConfigurationSource() = default;
-    ConfigurationSource(const ConfigurationSource&) = delete;
-    ConfigurationSource& operator=(const ConfigurationSource&) = delete;
-    virtual ~ConfigurationSource() = default;
-
-    /// Returns the change number of the newest accepted configuration.
-    virtual base::Result<std::uint64_t> latestChange(std::chrono::milliseconds timeout) = 0;
-
-    /// Returns the newest configuration, read consistently and with every digest checked.
-    virtual base::Result<config::Configuration> read(std::chrono::milliseconds timeout) = 0;
-};
-
-/// The platform as the control plane uses it. Any pointer may be null when the settings name no platform.
+/// The platform as the control plane uses it. All members may be empty when the settings name no platform.
 struct PlatformAccess {
-    ConfigurationSource* configuration = nullptr;
-    platform::Platform* platform = nullptr;
+    platform::Platform* platform = nullptr; ///< For the instance list.
+    platform::ConfigurationStore* store = nullptr;
     /// Renews this instance's entry in the platform's instance list.
     std::function<base::Result<void>(const platform::ListedInstance&, std::chrono::milliseconds)> heartbeat;
+    std::function<void(unsigned)> liveInstances; ///< Told the number of instances whenever it changes.
 };
 
 /// What the control plane works with. All references must outlive it.
--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -53,7 +53,8 @@
     ControlState& operator=(const ControlState&) = delete;
 
     /// Applies a configuration if its change number is above the one in force; returns whether it was applied.
-    bool applyConfiguration(const config::Configuration& configuration, base::SteadyTime now);
+    /// `complete` is false when a damaged record was left out; the same change number may then be applied again.
+    bool applyConfiguration(const config::Configuration& configuration, base::SteadyTime now, bool complete = true);
 
     /// Change number in force; 0 before the first configuration.
     std::uint64_t change() const { return m_change; }
@@ -153,6 +154,7 @@
     health::Reporter m_reporter;
     std::mt19937_64 m_random;
     std::uint64_t m_change = 0;
+    bool m_complete = true; ///< Whether the configuration in force has all its services.
     std::map<std::string, std::unique_ptr<ServiceState>> m_services;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_lastSequence; ///< Incarnation and sequence.
     std::map<std::string, std::pair<std::uint64_t, std::string>> m_peerChanges; ///< Change number and address.
--- /dev/null
+++ b/src/daemon/cli_change.cpp
@@ -0,0 +1,241 @@
+#include "cli_command.h"
+
+#include <algorithm>
+#include <buckthorncroft/base/clock.h>
+#include <buckthorncroft/config/difference.h>
+#include <buckthorncroft/config/parse.h>
+#include <buckthorncroft/daemon/operator_cli.h>
+#include <buckthorncroft/platform/configuration_store.h>
+#include <buckthorncroft/platform/http_platform.h>
+#include <charconv>
+#include <ctime>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace buckthorncroft::daemon::detail {
+
+namespace {
+
+    using nlohmann::json;
+    using platform::Acceptance;
+    using platform::HistoryEntry;
+
+    constexpr std::size_t maxHistory = 1000;
+
+    /// The configuration store of the platform that the command names.
+    struct Store {
+        explicit Store(const CliCommand& command)
+            : http(command.platform.host, command.platform.port)
+            , store(http, clock)
+        {
+        }
+
+        base::SystemClock clock;
+        platform::HttpPlatform http;
+        platform::ConfigurationStore store;
+    };
+
+    std::optional<std::uint64_t> parseVersion(const std::string& text)
+    {
+        std::uint64_t value = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (ec != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
+    int badVersion(const std::string& text)
+    {
+        fmt::print(stderr, "\"{}\" is not a version number\n", text);
+        return CliBadInput;
+    }
+
+    std::string timeText(base::WallTime time)
+    {
+        return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::chrono::system_clock::to_time_t(time)));
+    }
+
+    void printAcceptance(const CliCommand& command, const std::string& service, const Acceptance& acceptance)
+    {
+        if (command.json) {
+            const json document { { "service", service }, { "version", acceptance.version },
+                { "change", acceptance.change }, { "operation", command.operationId } };
+            fmt::print("{}\n", document.dump());
+            return;
+        }
+        fmt::print("{}: accepted as version {}, change {}, operation {}\n", service, acceptance.version,
+            acceptance.change, command.operationId);
+    }
+
+    int finish(const CliCommand& command, const std::string& service, const base::Result<Acceptance>& result)
+    {
+        if (!result) {
+            const auto code = reportError(service, result.error());
+            if (code == CliUnknown)
+                fmt::print(stderr, "ask again with: buckthorncroftctl operation {}\n", command.operationId);
+            return code;
+        }
+        printAcceptance(command, service, result.value());
+        if (!command.wait)
+            return CliOk;
+        return waitInForce(command, result.value().change) ? CliOk : CliRefused;
+    }
+
+    std::uint64_t currentVersion(const config::Configuration& configuration, const std::string& service)
+    {
+        for (const auto& it : configuration.services) {
+            if (it.name == service)
+                return it.version;
+        }
+        return 0;
+    }
+
+    platform::Submission submissionOf(const CliCommand& command, const config::Service& service, std::uint64_t base)
+    {
+        return { service, base, command.operationId, command.operatorName, command.reason };
+    }
+
+    const HistoryEntry* findVersion(const platform::StoredHistory& history, std::uint64_t version)
+    {
+        const auto it = std::find_if(history.entries.begin(), history.entries.end(),
+            [&](const HistoryEntry& entry) { return entry.version == version; });
+        return it == history.entries.end() ? nullptr : &*it;
+    }
+
+} // namespace
+
+// A generated file has version 0 in each service: the operator then edits what is current. A file with versions, as
+// `history` prints them, is refused when somebody else was faster.
+int runSubmit(const CliCommand& command)
+{
+    base::Findings findings;
+    const auto text = readWholeFile(command.arguments.at(0), findings);
+    if (!findings.empty())
+        return reportFindings(findings);
+    const auto parsed = config::parseConfiguration(text, command.arguments.at(0));
+    if (!parsed.findings.empty())
+        return reportFindings(parsed.findings);
+    Store store(command);
+    const auto stored = store.store.readAll(command.timeout);
+    if (!stored)
+        return reportError("read the current configuration", stored.error());
+    auto each = command;
+    int worst = CliOk;
+    for (const auto& service : parsed.configuration.services) {
+        const auto current = currentVersion(stored.value().configuration, service.name);
+        const auto base = service.version ? service.version : current;
+        each.operationId = command.operationId + "." + service.name;
+        worst = std::max(
+            worst, finish(each, service.name, store.store.submit(submissionOf(each, service, base), command.timeout)));
+    }
+    return worst;
+}
+
+int runDrain(const CliCommand& command, bool draining)
+{
+    Store store(command);
+    const auto stored = store.store.readAll(command.timeout);
+    if (!stored)
+        return reportError("read the current configuration", stored.error());
+    for (auto service : stored.value().configuration.services) {
+        if (service.name != command.arguments.at(0))
+            continue;
+        for (auto& it : service.targets) {
+            if (it.id != command.arguments.at(1))
+                continue;
+            it.draining = draining;
+            return finish(command, service.name,
+                store.store.submit(submissionOf(command, service, service.version), command.timeout));
+        }
+    }
+    fmt::print(stderr, "there is no target {} of service {}\n", command.arguments.at(1), command.arguments.at(0));
+    return CliRefused;
+}
+
+int runHistory(const CliCommand& command)
+{
+    Store store(command);
+    const auto history = store.store.history(command.arguments.at(0), maxHistory, command.timeout);
+    if (!history)
+        return reportError("history", history.error());
+    json document = json::array();
+    for (const auto& it : history.value().entries) {
+        if (command.json)
+            document.push_back({ { "version", it.version }, { "change", it.change }, { "operation", it.operationId },
+                { "operator", it.operatorName }, { "reason", it.reason }, { "accepted", timeText(it.accepted) } });
+        else
+            fmt::print("version {:<4} change {:<5} {}  {:<12} {}  (operation {})\n", it.version, it.change,
+                timeText(it.accepted), it.operatorName, it.reason, it.operationId);
+    }
+    if (command.json)
+        fmt::print("{}\n", document.dump(2));
+    for (const auto& it : history.value().damaged)
+        fmt::print(stderr, "damaged record {}: {}\n", it.key, it.reason);
+    return history.value().entries.empty() ? CliRefused : CliOk;
+}
+
+int runDiff(const CliCommand& command)
+{
+    const auto from = parseVersion(command.arguments.at(1));
+    const auto to = parseVersion(command.arguments.at(2));
+    if (!from || !to)
+        return badVersion(command.arguments.at(from ? 2 : 1));
+    Store store(command);
+    const auto history = store.store.history(command.arguments.at(0), maxHistory, command.timeout);
+    if (!history)
+        return reportError("history", history.error());
+    const auto* before = findVersion(history.value(), *from);
+    const auto* after = findVersion(history.value(), *to);
+    if (!before || !after) {
+        fmt::print(stderr, "version {} is not in the history\n", before ? *to : *from);
+        return CliRefused;
+    }
+    for (const auto& it : config::describeDifference(before->service, after->service))
+        fmt::print("{}\n", it);
+    return CliOk;
+}
+
+int runRollback(const CliCommand& command)
+{
+    const auto version = parseVersion(command.arguments.at(1));
+    if (!version)
+        return badVersion(command.arguments.at(1));
+    Store store(command);
+    const auto stored = store.store.readAll(command.timeout);
+    if (!stored)
+        return reportError("read the current configuration", stored.error());
+    config::Service service;
+    service.name = command.arguments.at(0);
+    const auto base = currentVersion(stored.value().configuration, service.name);
+    return finish(
+        command, service.name, store.store.rollback(submissionOf(command, service, base), *version, command.timeout));
+}
+
+int runOperation(const CliCommand& command, bool cancel)
+{
+    Store store(command);
+    const auto& id = command.arguments.at(0);
+    const auto status = cancel ? store.store.cancel(id, command.timeout) : store.store.operation(id, command.timeout);
+    if (!status)
+        return reportError("operation " + id, status.error());
+    switch (status.value().state) {
+    case platform::OperationState::Accepted:
+        fmt::print("operation {}: accepted as version {}, change {}\n", id, status.value().acceptance.version,
+            status.value().acceptance.change);
+        return CliOk;
+    case platform::OperationState::Refused:
+        fmt::print("operation {}: refused; it changed nothing\n", id);
+        return CliRefused;
+    case platform::OperationState::NotKnown:
+        break;
+    }
+    fmt::print(
+        "operation {}: no trace of it yet; a submit whose answer was lost may still take effect.\n"
+        "Submit the same file with the same operation id again, or settle it with: buckthorncroftctl cancel {}\n",
+        id, id);
+    return CliUnknown;
+}
+
+} // namespace buckthorncroft::daemon::detail
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -3,6 +3,7 @@
 #include "platform_worker.h"
 #include "status.h"
 #include "task_queue.h"
+#include <algorithm>
 #include <buckthorncroft/config/parse.h>
 #include <buckthorncroft/daemon/control_state.h>
 #include <buckthorncroft/wire/inner_client.h>
@@ -147,8 +148,8 @@
         events.listed = [this](std::vector<platform::ListedInstance> list) {
             m_tasks.post([this, list = std::move(list)] { takeList(list); });
         };
-        events.configuration = [this](config::Configuration configuration) {
-            m_tasks.post([this, configuration = std::move(configuration)] { apply(configuration, "platform"); });
+        events.configuration = [this](platform::StoredConfiguration stored) {
+            m_tasks.post([this, stored = std::move(stored)] { applyStored(stored); });
         };
         events.drainProbed = [this](const membership::TargetName& name, membership::DrainProbe result) {
             m_tasks.post([this, name, result] { m_state.drainProbed(name, result, m_parts.clock.now()); });
@@ -196,8 +197,14 @@
 
     void publish()
     {
-        if (m_state.change())
-            m_parts.snapshots.publish(m_state.snapshot(m_parts.clock.now()));
+        if (!m_state.change())
+            return;
+        const auto snapshot = m_state.snapshot(m_parts.clock.now());
+        m_parts.snapshots.publish(snapshot);
+        if (m_parts.platform.liveInstances && snapshot->liveInstances != m_liveInstances) {
+            m_liveInstances = snapshot->liveInstances;
+            m_parts.platform.liveInstances(m_liveInstances);
+        }
     }
 
     void sendReports(base::SteadyTime now)
@@ -265,6 +272,22 @@
         apply(parsed.configuration, "peer");
     }
 
+    // A damaged record is not applied; the service keeps the record that is in force, and the store is read again.
+    void applyStored(const platform::StoredConfiguration& stored)
+    {
+        auto configuration = stored.configuration;
+        for (const auto& damaged : stored.damaged) {
+            reject(configuration.change, damaged.key, damaged.reason);
+            const auto it = std::find_if(m_inForce.services.begin(), m_inForce.services.end(),
+                [&](const config::Service& service) { return service.name == damaged.service; });
+            if (it != m_inForce.services.end())
+                configuration.services.push_back(*it);
+        }
+        std::sort(configuration.services.begin(), configuration.services.end(),
+            [](const config::Service& a, const config::Service& b) { return a.name < b.name; });
+        apply(configuration, "platform", stored.damaged.empty());
+    }
+
     void reject(std::uint64_t change, const std::string& source, const std::string& reason)
     {
         m_parts.metrics.count("buckthorncroft_configurations_rejected_total");
@@ -272,18 +295,15 @@
             { { "change", std::to_string(change) }, { "source", source }, { "reason", reason } });
     }
 
-    void apply(const config::Configuration& configuration, const char* source)
+    void apply(const config::Configuration& configuration, const char* source, bool complete = true)
     {
         const auto before = m_state.change();
-        if (!m_state.applyConfiguration(configuration, m_parts.clock.now()))
+        if (!m_state.applyConfiguration(configuration, m_parts.clock.now(), complete))
             return;
-        auto document = std::make_shared<wire::ConfigurationDocument>();
-        document->change = configuration.change;
-        document->text = config::formatConfiguration(configuration);
-        document->digest = config::contentDigest(document->text);
-        m_document.store(std::move(document));
-        if (m_worker)
-            m_worker->setChange(configuration.change);
+        m_inForce = configuration;
+        // An incomplete configuration is not handed on: peers would keep the old record under the new change number.
+        if (complete)
+            shareInForce();
         m_parts.logger.write(observe::Level::Info, "configuration_applied",
             { { "change", std::to_string(configuration.change) }, { "previous", std::to_string(before) },
                 { "services", std::to_string(configuration.services.size()) }, { "source", source } });
@@ -291,6 +311,17 @@
         publish();
     }
 
+    void shareInForce()
+    {
+        auto document = std::make_shared<wire::ConfigurationDocument>();
+        document->change = m_inForce.change;
+        document->text = config::formatConfiguration(m_inForce);
+        document->digest = config::contentDigest(document->text);
+        m_document.store(std::move(document));
+        if (m_worker)
+            m_worker->setChange(m_inForce.change);
+    }
+
     void logStageChanges()
     {
         for (const auto& [service, change] : m_state.takeStageChanges()) {
@@ -309,12 +340,14 @@
     const membership::Peer m_self;
     ControlState m_state; ///< Used by the control thread only, once it runs.
     detail::TaskQueue m_tasks;
+    config::Configuration m_inForce; ///< Used by the control thread only, once it runs.
     std::atomic<std::shared_ptr<const wire::ConfigurationDocument>> m_document;
     std::vector<std::string> m_firstPeers;
     std::unique_ptr<wire::InnerServer> m_server;
     std::unique_ptr<detail::PlatformWorker> m_worker;
     wire::InnerClient m_client;
     std::mt19937_64 m_random;
+    unsigned m_liveInstances = 0;
     base::SteadyTime m_lastTick;
     base::SteadyTime m_lastGreeting;
     base::SteadyTime m_lastFetch;
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -99,9 +99,10 @@
         m_stageChanges.push_back({ service, std::move(it) });
 }
 
-bool ControlState::applyConfiguration(const config::Configuration& configuration, base::SteadyTime now)
+bool ControlState::applyConfiguration(const config::Configuration& configuration, base::SteadyTime now, bool complete)
 {
-    if (configuration.change <= m_change)
+    const bool repaired = !m_complete && complete && configuration.change == m_change;
+    if (configuration.change <= m_change && !repaired)
         return false;
     std::map<std::string, std::unique_ptr<ServiceState>> services;
     for (const auto& it : configuration.services) {
@@ -119,6 +120,7 @@
     }
     m_services = std::move(services);
     m_change = configuration.change;
+    m_complete = complete;
     for (auto& [name, state] : m_services) {
         for (std::size_t i = 0; i < state->service->targets.size(); ++i) {
             this->record(name,
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -6,11 +6,16 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <buckthorncroft/config/parse.h>
+#include <buckthorncroft/daemon/control_plane.h>
 #include <buckthorncroft/daemon/operators_endpoint.h>
 #include <buckthorncroft/daemon/settings.h>
 #include <buckthorncroft/daemon/snapshot.h>
 #include <buckthorncroft/daemon/traffic_server.h>
 #include <buckthorncroft/daemon/version.h>
+#include <buckthorncroft/observe/metrics.h>
+#include <buckthorncroft/platform/configuration_store.h>
+#include <buckthorncroft/platform/http_platform.h>
+#include <buckthorncroft/platform/table_claim_service.h>
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -91,6 +96,38 @@
         return observe::Level::Info;
     }
 
+    std::string hexadecimal(std::uint64_t value)
+    {
+        return fmt::format("{:016x}", value);
+    }
+
+    std::uint64_t randomNumber()
+    {
+        std::random_device device;
+        return static_cast<std::uint64_t>(device()) << 32 | device();
+    }
+
+    /// The platform's service as one instance uses it; made only when the settings name it.
+    struct PlatformParts {
+        PlatformParts(const InstanceSettings& settings, const base::Clock& clock)
+            : http(settings.platform.host, settings.platform.port)
+            , store(http, clock)
+            , claims(http, clock, claimSettings(settings), randomNumber())
+        {
+        }
+
+        static platform::ClaimServiceSettings claimSettings(const InstanceSettings& settings)
+        {
+            platform::ClaimServiceSettings result;
+            result.holder = settings.instance + "-" + hexadecimal(randomNumber());
+            return result;
+        }
+
+        platform::HttpPlatform http;
+        platform::ConfigurationStore store;
+        platform::TableClaimService claims;
+    };
+
     /// The parts of a running instance and the course of its stop.
     class EntryDaemon {
     public:
@@ -98,6 +135,9 @@
             : m_files(std::move(files))
             , m_log(m_clock, m_files.settings.instance, m_files.settings.zone, levelOf(m_files.settings.logLevel))
             , m_router(routing::makeTwoChoicesRouter(m_files.settings.zone))
+            , m_platform(m_files.settings.platform.host.empty()
+                      ? nullptr
+                      : std::make_unique<PlatformParts>(m_files.settings, m_clock))
             , m_operators(m_files.settings.operators, m_files.settings.operatorsTls)
             , m_traffic(m_files.settings, dependencies())
         {
@@ -105,10 +145,14 @@
 
         int run()
         {
-            if (!m_files.settings.configurationFile.empty())
-                m_snapshots.publish(makeSnapshot(m_files.configuration, 1));
             m_operators.add("/live", [] { return OperatorsAnswer { 200, "text/plain", "live\n" }; });
             m_operators.add("/ready", [this] { return readiness(); });
+            m_operators.add("/metrics", [this] { return metricsAnswer(); });
+            m_operators.add("/status", [this] { return statusAnswer(); });
+            auto control = ControlPlane::start(controlParts(), m_files.configuration);
+            if (!control)
+                return fail(control.error());
+            m_control = std::move(control).value();
             if (const auto started = m_operators.start(); !started)
                 return fail(started.error());
             if (const auto started = m_traffic.start(); !started)
@@ -124,10 +168,59 @@
         TrafficDependencies dependencies()
         {
             TrafficDependencies result { m_clock, m_snapshots, m_observations, *m_router, m_log };
-            result.seed = std::random_device {}();
+            result.seed = randomNumber();
+            result.claims = m_platform ? &m_platform->claims : nullptr;
+            result.finished = [this](const FinishedRequest& request) { countRequest(request); };
             return result;
         }
 
+        ControlPlaneParts controlParts()
+        {
+            PlatformAccess access;
+            if (m_platform) {
+                access.platform = &m_platform->http;
+                access.store = &m_platform->store;
+                access.heartbeat = [this](const platform::ListedInstance& self, std::chrono::milliseconds timeout) {
+                    return m_platform->http.heartbeat(self, timeout);
+                };
+                access.liveInstances = [this](unsigned n) { m_platform->claims.setLiveInstances(n); };
+            }
+            return { m_files.settings, m_clock, m_snapshots, m_observations, m_log, m_metrics, access };
+        }
+
+        void countRequest(const FinishedRequest& request)
+        {
+            const observe::Labels service { { "service", request.service }, { "route", request.route } };
+            m_metrics.count("buckthorncroft_requests_total",
+                { { "service", request.service }, { "route", request.route },
+                    { "outcome", outcome::toString(request.outcome) }, { "status", std::to_string(request.status) } });
+            m_metrics.count("buckthorncroft_attempts_total", service, request.attempts);
+            m_metrics.observeSeconds(
+                "buckthorncroft_request_seconds", service, std::chrono::duration<double>(request.duration).count());
+        }
+
+        OperatorsAnswer metricsAnswer()
+        {
+            m_metrics.set("buckthorncroft_requests_active", {}, static_cast<double>(m_traffic.active()));
+            m_metrics.set("buckthorncroft_buffered_bytes", {}, static_cast<double>(m_traffic.memoryUsed()));
+            if (m_platform) {
+                const auto claims = m_platform->claims.counters();
+                m_metrics.set("buckthorncroft_claims_held", {}, static_cast<double>(claims.held));
+                m_metrics.set("buckthorncroft_claims_refused_busy", {}, static_cast<double>(claims.refusedBusy));
+                m_metrics.set("buckthorncroft_claims_refused_budget", {}, static_cast<double>(claims.refusedBudget));
+                m_metrics.set(
+                    "buckthorncroft_claims_cleanup_dropped", {}, static_cast<double>(claims.backgroundDropped));
+            }
+            return { 200, "text/plain; version=0.0.4; charset=utf-8", m_metrics.text() };
+        }
+
+        OperatorsAnswer statusAnswer()
+        {
+            if (!m_control)
+                return { 503, "text/plain", "starting\n" };
+            return { 200, "application/json", m_control->status() };
+        }
+
         OperatorsAnswer readiness() const
         {
             if (m_stopping)
@@ -153,6 +246,7 @@
         void stop()
         {
             m_stopping = true;
+            m_control->setLeaving();
             // A second signal takes effect at any point of the stop, so it has a thread of its own.
             m_signals.async_wait([this](http::error_code ec, int) {
                 if (ec)
@@ -177,8 +271,11 @@
         http::asio::io_context m_mainLoop;
         http::asio::signal_set m_signals { m_mainLoop, SIGTERM, SIGINT };
         std::unique_ptr<routing::Router> m_router;
+        observe::Metrics m_metrics;
         SnapshotStore m_snapshots;
         ObservationQueue m_observations;
+        std::unique_ptr<PlatformParts> m_platform; ///< Outlives the control plane and the traffic, which use it.
+        std::unique_ptr<ControlPlane> m_control;
         std::atomic<bool> m_stopping { false };
         OperatorsEndpoint m_operators;
         TrafficServer m_traffic;
--- /dev/null
+++ b/src/daemon/operators_client.cpp
@@ -0,0 +1,137 @@
+#include "operators_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+#include <optional>
+
+namespace buckthorncroft::daemon::detail {
+
+namespace {
+
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    namespace ssl = boost::asio::ssl;
+    using ErrorCode = boost::system::error_code;
+
+    constexpr std::uint64_t maxAnswerBytes = 64u << 20;
+
+    /// One call; the steps run one after another on `io` until an error or the deadline ends them.
+    class Call {
+    public:
+        Call(const Endpoint& endpoint, const std::string& path, const TlsFiles& tls)
+            : m_endpoint(endpoint)
+            , m_tls(tls)
+            , m_context(ssl::context::tls_client)
+            , m_stream(m_io, m_context)
+            , m_request(http::verb::get, path, 11)
+        {
+            m_request.set(http::field::host, endpoint.host);
+            m_request.set(http::field::connection, "close");
+            m_parser.body_limit(maxAnswerBytes);
+        }
+
+        base::Result<std::string> run(std::chrono::milliseconds timeout)
+        {
+            ErrorCode ec;
+            const auto address = boost::asio::ip::make_address(m_endpoint.host, ec);
+            if (ec)
+                return base::Error { base::ErrorCode::InvalidArgument, m_endpoint.host + " is not an IP number" };
+            if (!m_tls.plaintext && !loadFiles(ec))
+                return base::Error { base::ErrorCode::InvalidArgument, "certificate files: " + ec.message() };
+            lowest().expires_after(timeout);
+            lowest().async_connect({ address, m_endpoint.port }, [this](ErrorCode error) { connected(error); });
+            m_io.run();
+            return result();
+        }
+
+    private:
+        beast::tcp_stream& lowest() { return beast::get_lowest_layer(m_stream); }
+
+        bool loadFiles(ErrorCode& ec)
+        {
+            m_context.set_verify_mode(ssl::verify_peer);
+            m_context.load_verify_file(m_tls.authority, ec);
+            if (!ec)
+                m_context.use_certificate_chain_file(m_tls.certificate, ec);
+            if (!ec)
+                m_context.use_private_key_file(m_tls.privateKey, ssl::context::pem, ec);
+            return !ec;
+        }
+
+        void connected(ErrorCode ec)
+        {
+            if (fails(ec))
+                return;
+            if (m_tls.plaintext)
+                return send();
+            m_stream.async_handshake(ssl::stream_base::client, [this](ErrorCode error) {
+                if (!fails(error))
+                    send();
+            });
+        }
+
+        void send()
+        {
+            const auto written = [this](ErrorCode ec, std::size_t) {
+                if (!fails(ec))
+                    receive();
+            };
+            if (m_tls.plaintext)
+                http::async_write(lowest(), m_request, written);
+            else
+                http::async_write(m_stream, m_request, written);
+        }
+
+        void receive()
+        {
+            const auto read = [this](ErrorCode ec, std::size_t) { fails(ec); };
+            if (m_tls.plaintext)
+                http::async_read(lowest(), m_buffer, m_parser, read);
+            else
+                http::async_read(m_stream, m_buffer, m_parser, read);
+        }
+
+        bool fails(ErrorCode ec)
+        {
+            m_error = ec;
+            return static_cast<bool>(ec);
+        }
+
+        base::Result<std::string> result()
+        {
+            if (m_error == beast::error::timeout)
+                return base::Error { base::ErrorCode::Timeout, toString(m_endpoint) + " did not answer in time" };
+            if (m_error)
+                return base::Error { base::ErrorCode::Unavailable, toString(m_endpoint) + ": " + m_error.message() };
+            const auto& answer = m_parser.get();
+            if (answer.result() == http::status::forbidden)
+                return base::Error { base::ErrorCode::PermissionDenied, answer.body() };
+            if (answer.result() != http::status::ok)
+                return base::Error { base::ErrorCode::Malformed, "status " + std::to_string(answer.result_int()) };
+            return answer.body();
+        }
+
+        const Endpoint& m_endpoint;
+        const TlsFiles& m_tls;
+        boost::asio::io_context m_io;
+        ssl::context m_context;
+        beast::ssl_stream<beast::tcp_stream> m_stream;
+        http::request<http::empty_body> m_request;
+        beast::flat_buffer m_buffer;
+        http::response_parser<http::string_body> m_parser;
+        ErrorCode m_error;
+    };
+
+} // namespace
+
+base::Result<std::string> fetch(
+    const Endpoint& endpoint, const std::string& path, const TlsFiles& tls, std::chrono::milliseconds timeout)
+{
+    return Call(endpoint, path, tls).run(timeout);
+}
+
+} // namespace buckthorncroft::daemon::detail
--- a/src/daemon/platform_worker.h
+++ b/src/daemon/platform_worker.h
@@ -13,7 +13,7 @@
 /// What the platform thread reports to the control thread.
 struct PlatformEvents {
     std::function<void(std::vector<platform::ListedInstance>)> listed;
-    std::function<void(config::Configuration)> configuration;
+    std::function<void(platform::StoredConfiguration)> configuration;
     std::function<void(const membership::TargetName&, membership::DrainProbe)> drainProbed;
 };
 
