--- a/include/buckthorncroft/daemon/observation_queue.h
+++ b/include/buckthorncroft/daemon/observation_queue.h
@@ -14,6 +14,10 @@
 struct ReportedObservation {
     std::shared_ptr<const config::Service> service;
     health::Observation observation;
+    std::uint64_t attempt = 0; ///< Number of the attempt, unique within the process.
+    /// The attempt is still running; `observation.latency` is its age and its verdict means nothing. Sent about every
+    /// 100 ms, so that a hanging target is noticed before the deadline. One final observation follows.
+    bool pending = false;
 };
 
 /// Carries observations from the traffic threads to the control thread. Lock-free: when it is full, the observation is
--- /dev/null
+++ b/include/buckthorncroft/daemon/operators_endpoint.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <buckthorncroft/base/error.h>
+#include <buckthorncroft/daemon/settings.h>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace buckthorncroft::daemon {
+
+/// An answer of the operators' endpoint.
+struct OperatorsAnswer {
+    unsigned status = 200;
+    std::string contentType = "text/plain; charset=utf-8";
+    std::string body;
+};
+
+/// Serves operators over HTTP in a thread of its own, so that a slow operator's request never delays callers.
+/// Only GET and HEAD without a body are served.
+class OperatorsEndpoint {
+public:
+    using Provider = std::function<OperatorsAnswer()>;
+
+    OperatorsEndpoint(Endpoint endpoint, TlsFiles tls);
+
+    /// Stops serving.
+    ~OperatorsEndpoint();
+    OperatorsEndpoint(const OperatorsEndpoint&) = delete;
+    OperatorsEndpoint& operator=(const OperatorsEndpoint&) = delete;
+
+    /// Answers GET requests for exactly `path`. Call before `start`. The provider runs on threads of the endpoint and
+    /// must be safe for concurrent use.
+    void add(const std::string& path, Provider provider);
+
+    /// Opens the endpoint. Port 0 is refused, because the library does not tell which port it was given.
+    /// Errors: `Unavailable`.
+    base::Result<void> start();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace buckthorncroft::daemon
--- /dev/null
+++ b/src/daemon/claim_guard.cpp
@@ -0,0 +1,56 @@
+#include "claim_guard.h"
+
+#include "gate.h"
+
+#include <memory>
+
+namespace buckthorncroft::daemon {
+
+namespace {
+
+    struct Pending {
+        explicit Pending(http::asio::io_context& io)
+            : gate(io)
+        {
+        }
+        Gate<outcome::ClaimResult> gate;
+        bool abandoned = false;
+    };
+
+} // namespace
+
+http::Awaitable<outcome::ClaimResult> ClaimGuard::acquire(outcome::ClaimRequest request, base::SteadyTime deadline)
+{
+    auto* const claims = m_context.shared.dependencies.claims;
+    m_request = std::move(request);
+    const auto pending = std::make_shared<Pending>(m_context.io);
+    auto& io = m_context.io;
+    claims->acquire(m_request, deadline, [&io, pending, claims, claimed = m_request](outcome::ClaimResult result) {
+        http::asio::post(io, [pending, claims, claimed, result = std::move(result)]() mutable {
+            if (pending->abandoned && result.status == outcome::ClaimStatus::Held)
+                claims->release(claimed, result.token);
+            pending->gate.set(std::move(result));
+        });
+    });
+    auto result = co_await pending->gate.wait(deadline);
+    pending->abandoned = !result;
+    if (result && result->status == outcome::ClaimStatus::Held)
+        m_token = result->token;
+    co_return result ? std::move(*result) : outcome::ClaimResult {};
+}
+
+void ClaimGuard::release()
+{
+    if (held())
+        m_context.shared.dependencies.claims->release(m_request, m_token);
+    m_token.clear();
+}
+
+void ClaimGuard::complete(const outcome::RecordedAnswer& answer)
+{
+    if (held())
+        m_context.shared.dependencies.claims->complete(m_request, m_token, answer);
+    m_token.clear();
+}
+
+} // namespace buckthorncroft::daemon
--- /dev/null
+++ b/src/daemon/decision_log.cpp
@@ -0,0 +1,46 @@
+#include "decision_log.h"
+
+#include <fmt/format.h>
+#include <map>
+
+namespace buckthorncroft::daemon {
+
+namespace {
+
+    // Lines of larger services name only how many targets were rejected for each reason.
+    constexpr std::size_t mostNamedTargets = 32;
+
+    std::string rejections(const config::Service& service, const routing::Decision& decision)
+    {
+        std::string result;
+        std::map<std::string, unsigned> counts;
+        for (std::size_t i = 0; i < decision.rejections.size(); ++i) {
+            if (decision.rejections[i] == routing::Rejection::None)
+                continue;
+            const auto* reason = routing::toString(decision.rejections[i]);
+            ++counts[reason];
+            if (decision.rejections.size() <= mostNamedTargets)
+                result += fmt::format("{}{}:{}", result.empty() ? "" : ",", service.targets[i].id, reason);
+        }
+        if (decision.rejections.size() <= mostNamedTargets)
+            return result.empty() ? "none" : result;
+        for (const auto& [reason, n] : counts)
+            result += fmt::format("{}{}:{}", result.empty() ? "" : ",", reason, n);
+        return result;
+    }
+
+} // namespace
+
+void logDecision(const observe::Logger& log, const std::string& request, const config::Service& service,
+    config::RequestKind kind, const char* reason, const routing::Decision& decision)
+{
+    if (!log.enabled(observe::Level::Info))
+        return;
+    log.write(observe::Level::Info, "decision",
+        { { "request", request }, { "service", service.name }, { "kind", config::toString(kind) }, { "reason", reason },
+            { "target", decision.target ? service.targets[*decision.target].id : "none" },
+            { "considered", std::to_string(decision.rejections.size()) },
+            { "trial", decision.trial ? "true" : "false" }, { "others", rejections(service, decision) } });
+}
+
+} // namespace buckthorncroft::daemon
--- /dev/null
+++ b/src/daemon/entry_daemon.cpp
@@ -0,0 +1,242 @@
+#include <buckthorncroft/daemon/entry_daemon.h>
+
+#include "../http/asio.h"
+
+#include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <buckthorncroft/config/parse.h>
+#include <buckthorncroft/daemon/operators_endpoint.h>
+#include <buckthorncroft/daemon/settings.h>
+#include <buckthorncroft/daemon/snapshot.h>
+#include <buckthorncroft/daemon/traffic_server.h>
+#include <buckthorncroft/daemon/version.h>
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace buckthorncroft::daemon {
+
+namespace {
+
+    namespace po = boost::program_options;
+
+    constexpr const char* exitCodesText = "\nExit codes:\n"
+                                          "  0  graceful stop, or nothing to report\n"
+                                          "  1  an address could not be opened\n"
+                                          "  2  the command line or the settings have problems; all are listed\n"
+                                          "  3  a second SIGTERM or SIGINT ended requests in flight\n";
+
+    struct Options {
+        std::string settingsFile;
+        bool check = false;
+    };
+
+    struct LoadedFiles {
+        InstanceSettings settings;
+        config::Configuration configuration;
+        base::Findings findings;
+    };
+
+    std::string readFile(const std::string& name, base::Findings& findings)
+    {
+        std::ifstream file(name, std::ios::binary);
+        std::string text { std::istreambuf_iterator<char>(file), {} };
+        if (!file)
+            findings.push_back({ name, 0, "", "cannot be read", "check the name and the permissions" });
+        return text;
+    }
+
+    LoadedFiles loadFiles(const std::string& settingsFile)
+    {
+        LoadedFiles result;
+        const auto text = readFile(settingsFile, result.findings);
+        if (!result.findings.empty())
+            return result;
+        auto parsed = parseSettings(text, settingsFile);
+        result.settings = std::move(parsed.settings);
+        result.findings = std::move(parsed.findings);
+        const auto& name = result.settings.configurationFile;
+        if (name.empty())
+            return result;
+        base::Findings fileFindings;
+        const auto document = readFile(name, fileFindings);
+        if (fileFindings.empty()) {
+            auto configuration = config::parseConfiguration(document, name);
+            result.configuration = std::move(configuration.configuration);
+            fileFindings = std::move(configuration.findings);
+        }
+        result.findings.insert(result.findings.end(), fileFindings.begin(), fileFindings.end());
+        return result;
+    }
+
+    observe::Level levelOf(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Debug:
+            return observe::Level::Debug;
+        case LogLevel::Warning:
+            return observe::Level::Warning;
+        case LogLevel::Error:
+            return observe::Level::Error;
+        case LogLevel::Info:
+            break;
+        }
+        return observe::Level::Info;
+    }
+
+    /// The parts of a running instance and the course of its stop.
+    class EntryDaemon {
+    public:
+        explicit EntryDaemon(LoadedFiles files)
+            : m_files(std::move(files))
+            , m_log(m_clock, m_files.settings.instance, m_files.settings.zone, levelOf(m_files.settings.logLevel))
+            , m_router(routing::makeTwoChoicesRouter(m_files.settings.zone))
+            , m_operators(m_files.settings.operators, m_files.settings.operatorsTls)
+            , m_traffic(m_files.settings, dependencies())
+        {
+        }
+
+        int run()
+        {
+            if (!m_files.settings.configurationFile.empty())
+                m_snapshots.publish(makeSnapshot(m_files.configuration, 1));
+            m_operators.add("/live", [] { return OperatorsAnswer { 200, "text/plain", "live\n" }; });
+            m_operators.add("/ready", [this] { return readiness(); });
+            if (const auto started = m_operators.start(); !started)
+                return fail(started.error());
+            if (const auto started = m_traffic.start(); !started)
+                return fail(started.error());
+            m_log.write(observe::Level::Info, "started",
+                { { "version", versionText() }, { "callers_port", std::to_string(m_traffic.port()) } });
+            waitForSignal();
+            stop();
+            return ExitOk;
+        }
+
+    private:
+        TrafficDependencies dependencies()
+        {
+            TrafficDependencies result { m_clock, m_snapshots, m_observations, *m_router, m_log };
+            result.seed = std::random_device {}();
+            return result;
+        }
+
+        OperatorsAnswer readiness() const
+        {
+            if (m_stopping)
+                return { 503, "text/plain", "stopping\n" };
+            if (!m_snapshots.read())
+                return { 503, "text/plain", "no configuration\n" };
+            return { 200, "text/plain", "ready\n" };
+        }
+
+        int fail(const base::Error& error)
+        {
+            m_log.write(observe::Level::Error, "start_failed", { { "reason", error.message } });
+            return ExitStartFailed;
+        }
+
+        void waitForSignal()
+        {
+            m_signals.async_wait([this](http::error_code, int) { m_mainLoop.stop(); });
+            m_mainLoop.run();
+            m_mainLoop.restart();
+        }
+
+        void stop()
+        {
+            m_stopping = true;
+            // A second signal takes effect at any point of the stop, so it has a thread of its own.
+            m_signals.async_wait([this](http::error_code ec, int) {
+                if (ec)
+                    return;
+                m_log.write(
+                    observe::Level::Warning, "stop_forced", { { "active", std::to_string(m_traffic.active()) } });
+                ::_exit(ExitForced);
+            });
+            std::thread second([this] { m_mainLoop.run(); });
+            m_log.write(observe::Level::Info, "stopping", { { "active", std::to_string(m_traffic.active()) } });
+            m_traffic.announceStop();
+            std::this_thread::sleep_for(m_files.settings.balancerLag);
+            m_traffic.finish();
+            m_mainLoop.stop();
+            second.join();
+            m_log.write(observe::Level::Info, "stopped", {});
+        }
+
+        base::SystemClock m_clock;
+        LoadedFiles m_files;
+        observe::Logger m_log;
+        http::asio::io_context m_mainLoop;
+        http::asio::signal_set m_signals { m_mainLoop, SIGTERM, SIGINT };
+        std::unique_ptr<routing::Router> m_router;
+        SnapshotStore m_snapshots;
+        ObservationQueue m_observations;
+        std::atomic<bool> m_stopping { false };
+        OperatorsEndpoint m_operators;
+        TrafficServer m_traffic;
+    };
+
+    int printFindings(const base::Findings& findings)
+    {
+        for (const auto& it : findings)
+            fmt::print(stderr, "{}\n", base::toString(it));
+        return ExitBadSettings;
+    }
+
+    int run(const Options& options)
+    {
+        auto files = loadFiles(options.settingsFile);
+        if (!files.findings.empty())
+            return printFindings(files.findings);
+        if (options.check) {
+            fmt::print("{}: no problems found\n", options.settingsFile);
+            return ExitOk;
+        }
+        return EntryDaemon(std::move(files)).run();
+    }
+
+} // namespace
+
+int runEntryDaemon(int argc, char** argv)
+{
+    Options options;
+    po::options_description description("Usage: buckthorncroft [options] SETTINGS\n\nOptions");
+    description.add_options()("help", "print this text")("version", "print the version")(
+        "check", po::bool_switch(&options.check), "check the settings and the configuration file, then exit")(
+        "settings", po::value(&options.settingsFile), "settings file in TOML");
+    po::positional_options_description positions;
+    positions.add("settings", 1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(description).positional(positions).run(), values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        fmt::print(stderr, "{}\nTry --help.\n", error.what());
+        return ExitBadSettings;
+    }
+    if (values.count("help")) {
+        std::ostringstream text;
+        text << description << exitCodesText;
+        fmt::print("{}", text.str());
+        return ExitOk;
+    }
+    if (values.count("version")) {
+        fmt::print("buckthorncroft {}\n", versionText());
+        return ExitOk;
+    }
+    if (options.settingsFile.empty()) {
+        fmt::print(stderr, "no settings file is given\nTry --help.\n");
+        return ExitBadSettings;
+    }
+    return run(options);
+}
+
+} // namespace buckthorncroft::daemon
--- /dev/null
+++ b/src/daemon/traffic_context.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "../http/asio.h"
+#include "service_traffic.h"
+
+#include <atomic>
+#include <buckthorncroft/daemon/traffic_server.h>
+#include <set>
+#include <string>
+
+namespace buckthorncroft::daemon {
+
+/// State that all traffic threads share.
+struct TrafficShared {
+    TrafficShared(const InstanceSettings& settings, TrafficDependencies use)
+        : dependencies(std::move(use))
+        , services(dependencies.router, settings.memoryBudget, dependencies.seed)
+        , instance(settings.instance)
+    {
+    }
+
+    TrafficDependencies dependencies;
+    ServiceRegistry services;
+    std::string instance;
+    std::string incarnation; ///< Makes request ids unique over restarts.
+    std::atomic<std::uint64_t> nextRequest { 1 };
+    std::atomic<std::uint64_t> nextAttempt { 1 };
+    std::atomic<std::size_t> active { 0 };
+    std::atomic<bool> stopAnnounced { false };
+};
+
+class Attempt;
+
+/// One traffic thread's view.
+struct TrafficContext {
+    http::asio::io_context& io;
+    TrafficShared& shared;
+    std::set<Attempt*> attempts {}; ///< Running on this thread, for reports about pending ones.
+
+    const base::Clock& clock() const { return shared.dependencies.clock; }
+    const observe::Logger& log() const { return shared.dependencies.log; }
+};
+
+} // namespace buckthorncroft::daemon
--- /dev/null
+++ b/src/http/asio.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// Boost 1.74 uses std::exchange in awaitable.hpp without including this header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <limits>
+
+namespace buckthorncroft::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+template <typename T> using Awaitable = asio::awaitable<T>;
+
+/// No limit on a body. Boost 1.74 compares a length with an empty limit as larger, so that none would refuse all.
+constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
+
+/// Completion token that reports errors through `ec`, because expected network errors are no exceptions.
+inline auto capture(error_code& ec)
+{
+    return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+} // namespace buckthorncroft::http
--- /dev/null
+++ b/src/http/caller_exchange.cpp
@@ -0,0 +1,126 @@
+#include "caller_exchange.h"
+
+#include "framing.h"
+
+#include <boost/beast/http/span_body.hpp>
+
+namespace buckthorncroft::http {
+
+namespace {
+
+    constexpr std::uint32_t requestHeaderLimit = 16 * 1024;
+
+} // namespace
+
+CallerExchange::CallerExchange(std::shared_ptr<Connection> connection, std::chrono::milliseconds stallLimit)
+    : m_connection(std::move(connection))
+    , m_stallLimit(stallLimit)
+{
+    m_parser.header_limit(requestHeaderLimit);
+    // The limit of the route is not known yet; the reader of the body enforces it.
+    m_parser.body_limit(unlimitedBody);
+}
+
+Awaitable<error_code> CallerExchange::readHead()
+{
+    error_code ec;
+    co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, capture(ec));
+    co_return ec;
+}
+
+bool CallerExchange::expectsContinue() const
+{
+    return head().version() >= 11 && beast::iequals(head()[bhttp::field::expect], "100-continue");
+}
+
+std::optional<std::uint64_t> CallerExchange::declaredLength() const
+{
+    const auto n = m_parser.content_length();
+    return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
+}
+
+bool CallerExchange::hasBody() const
+{
+    return m_parser.chunked() || m_parser.content_length();
+}
+
+Awaitable<std::size_t> CallerExchange::readSome(char* data, std::size_t size, error_code& ec)
+{
+    if (expectsContinue() && !m_continueSent && !m_parser.is_done() && m_connection->buffer().size() == 0) {
+        m_continueSent = true;
+        const std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_connection->socket(), asio::buffer(line), capture(ec));
+        if (ec)
+            co_return 0;
+    }
+    auto& body = m_parser.get().body();
+    body.data = data;
+    body.size = size;
+    while (!m_parser.is_done() && body.size == size) {
+        co_await bhttp::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, capture(ec));
+        if (ec == bhttp::error::need_buffer)
+            ec = {};
+        if (ec)
+            break;
+    }
+    co_return size - body.size;
+}
+
+Awaitable<bool> CallerExchange::sendWhole(bhttp::response_header<> head, std::string_view body, bool keepAlive)
+{
+    bhttp::response<bhttp::span_body<const char>> message(std::move(head));
+    const bool bodyless = hasNoBody(this->head().method(), message.result_int());
+    message.version(11);
+    // An answer to HEAD keeps the length that the target stated for the body it left out.
+    if (!bodyless)
+        message.content_length(body.size());
+    message.keep_alive(keepAlive);
+    if (!bodyless)
+        message.body() = beast::span<const char>(body.data(), body.size());
+    m_answerStarted = true;
+    m_connection->closeAt(std::chrono::steady_clock::now() + m_stallLimit);
+    error_code ec;
+    co_await bhttp::async_write(m_connection->socket(), message, capture(ec));
+    m_connection->clearLimit();
+    co_return !ec;
+}
+
+Awaitable<bool> CallerExchange::sendHead(
+    bhttp::response_header<> head, std::optional<std::uint64_t> length, bool keepAlive)
+{
+    m_answer.emplace(std::move(head));
+    m_answer->version(11);
+    const bool chunksKnown = this->head().version() >= 11;
+    if (length)
+        m_answer->content_length(*length);
+    else if (chunksKnown)
+        m_answer->chunked(true);
+    m_answer->keep_alive(keepAlive && (length || chunksKnown));
+    m_answer->body().data = nullptr;
+    m_answer->body().more = true;
+    m_serializer.emplace(*m_answer);
+    m_answerStarted = true;
+    m_connection->closeAt(std::chrono::steady_clock::now() + m_stallLimit);
+    error_code ec;
+    co_await bhttp::async_write_header(m_connection->socket(), *m_serializer, capture(ec));
+    m_connection->clearLimit();
+    co_return !ec;
+}
+
+Awaitable<bool> CallerExchange::sendSome(std::string_view piece)
+{
+    auto& body = m_answer->body();
+    // The serializer only reads from the buffer, although its type allows writing.
+    body.data = piece.empty() ? nullptr : const_cast<char*>(piece.data());
+    body.size = piece.size();
+    body.more = !piece.empty();
+    m_connection->closeAt(std::chrono::steady_clock::now() + m_stallLimit);
+    error_code ec;
+    co_await bhttp::async_write(m_connection->socket(), *m_serializer, capture(ec));
+    m_connection->clearLimit();
+    if (ec == bhttp::error::need_buffer)
+        ec = {};
+    co_return !ec;
+}
+
+} // namespace buckthorncroft::http
--- /dev/null
+++ b/src/http/framing.cpp
@@ -0,0 +1,60 @@
+#include "framing.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <vector>
+
+namespace buckthorncroft::http {
+
+std::optional<Refusal> explainHeadError(error_code ec)
+{
+    if (ec == bhttp::error::header_limit || ec == bhttp::error::buffer_overflow)
+        return Refusal { 431, "the header block is too large" };
+    if (ec == bhttp::error::end_of_stream || ec.category() != make_error_code(bhttp::error::end_of_stream).category())
+        return std::nullopt;
+    return Refusal { 400, "the request is malformed: " + ec.message() };
+}
+
+std::optional<Refusal> checkRequestHead(const bhttp::request_header<>& head)
+{
+    // Two equal lengths are refused as well: an intermediary that folds them may have seen two different ones.
+    if (head.count(bhttp::field::content_length) > 1)
+        return Refusal { 400, "Content-Length appears twice" };
+    const auto coding = head[bhttp::field::transfer_encoding];
+    if (head.count(bhttp::field::transfer_encoding) > 1 || (!coding.empty() && !beast::iequals(coding, "chunked")))
+        return Refusal { 400, "only the transfer coding chunked is supported" };
+    if (head.count(bhttp::field::transfer_encoding) && head.count(bhttp::field::content_length))
+        return Refusal { 400, "Content-Length and Transfer-Encoding contradict each other" };
+    if (!coding.empty() && head.version() < 11)
+        return Refusal { 400, "a transfer coding needs HTTP/1.1" };
+    if (head.count(bhttp::field::content_length)
+        && head[bhttp::field::content_length].find(',') != beast::string_view::npos)
+        return Refusal { 400, "Content-Length has several values" };
+    if (head.count(bhttp::field::host) != 1 && (head.version() >= 11 || head.count(bhttp::field::host) > 1))
+        return Refusal { 400, "there must be one Host header" };
+    if (head.target().empty() || head.target().front() != '/')
+        return Refusal { 400, "the request target must be a path" };
+    return std::nullopt;
+}
+
+void removeHopByHop(bhttp::fields& fields)
+{
+    std::vector<std::string> named;
+    const auto range = fields.equal_range(bhttp::field::connection);
+    for (auto it = range.first; it != range.second; ++it) {
+        for (const auto& token : bhttp::token_list(it->value()))
+            named.emplace_back(token);
+    }
+    for (const auto& it : named)
+        fields.erase(it);
+    for (const auto it : { bhttp::field::connection, bhttp::field::keep_alive, bhttp::field::proxy_connection,
+             bhttp::field::proxy_authenticate, bhttp::field::proxy_authorization, bhttp::field::te,
+             bhttp::field::trailer, bhttp::field::transfer_encoding, bhttp::field::upgrade })
+        fields.erase(it);
+}
+
+bool hasNoBody(bhttp::verb method, unsigned status)
+{
+    return method == bhttp::verb::head || status == 204 || status == 304;
+}
+
+} // namespace buckthorncroft::http
--- /dev/null
+++ b/src/http/target_call.cpp
@@ -0,0 +1,181 @@
+#include "target_call.h"
+
+#include <algorithm>
+#include <boost/beast/http/span_body.hpp>
+
+namespace buckthorncroft::http {
+
+namespace {
+
+    constexpr std::uint32_t answerHeaderLimit = 64 * 1024;
+
+    // A target that sends only interim answers would otherwise hold its slot until the deadline.
+    constexpr unsigned mostInterimAnswers = 16;
+
+} // namespace
+
+TargetCall::TargetCall(std::shared_ptr<Connection> connection)
+    : m_connection(std::move(connection))
+{
+}
+
+Awaitable<bool> TargetCall::connect(tcp::endpoint endpoint)
+{
+    error_code ec;
+    co_await m_connection->socket().async_connect(endpoint, capture(ec));
+    if (!ec)
+        m_connection->socket().set_option(tcp::no_delay(true), ec);
+    co_return !ec;
+}
+
+Awaitable<bool> TargetCall::send(bhttp::request_header<> head, std::string_view body, bool hasBody)
+{
+    bhttp::request<bhttp::span_body<const char>> message(std::move(head));
+    message.body() = beast::span<const char>(body.data(), body.size());
+    if (hasBody)
+        message.content_length(body.size());
+    error_code ec;
+    co_await bhttp::async_write(m_connection->socket(), message, capture(ec));
+    m_sendFailed = ec.failed();
+    co_return !ec;
+}
+
+Awaitable<bool> TargetCall::sendHead(bhttp::request_header<> head)
+{
+    m_upload.emplace(std::move(head));
+    m_upload->body().data = nullptr;
+    m_upload->body().more = true;
+    m_serializer.emplace(*m_upload);
+    error_code ec;
+    co_await bhttp::async_write_header(m_connection->socket(), *m_serializer, capture(ec));
+    m_sendFailed = ec.failed();
+    co_return !ec;
+}
+
+Awaitable<bool> TargetCall::sendSome(std::string_view piece)
+{
+    auto& body = m_upload->body();
+    // The serializer only reads from the buffer, although its type allows writing.
+    body.data = piece.empty() ? nullptr : const_cast<char*>(piece.data());
+    body.size = piece.size();
+    body.more = !piece.empty();
+    error_code ec;
+    co_await bhttp::async_write(m_connection->socket(), *m_serializer, capture(ec));
+    if (ec == bhttp::error::need_buffer)
+        ec = {};
+    m_sendFailed = ec.failed();
+    co_return !ec;
+}
+
+Awaitable<error_code> TargetCall::readHeadOnce(bhttp::verb method)
+{
+    m_parser.emplace();
+    m_parser->header_limit(answerHeaderLimit);
+    m_parser->body_limit(unlimitedBody);
+    if (method == bhttp::verb::head)
+        m_parser->skip(true);
+    error_code ec;
+    co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, capture(ec));
+    m_sawAnswerBytes = m_sawAnswerBytes || m_parser->got_some();
+    co_return ec;
+}
+
+CallEnd TargetCall::brokenEnd() const
+{
+    return m_connection->timedOut() ? CallEnd::TimedOut : CallEnd::Truncated;
+}
+
+Awaitable<bool> TargetCall::awaitContinue(bhttp::verb method)
+{
+    while (m_interim < mostInterimAnswers) {
+        const auto ec = co_await readHeadOnce(method);
+        m_headRead = true;
+        if (ec) {
+            m_broken = true;
+            co_return false;
+        }
+        const auto status = m_parser->get().result_int();
+        if (status / 100 != 1 || status == 101)
+            co_return false;
+        ++m_interim;
+        m_headRead = false;
+        if (status == 100)
+            co_return true;
+    }
+    m_broken = true;
+    co_return false;
+}
+
+Awaitable<CallEnd> TargetCall::readAnswer(bhttp::verb method, std::string id)
+{
+    while (!m_headRead && !m_broken) {
+        const auto ec = co_await readHeadOnce(method);
+        if (ec)
+            m_broken = true;
+        m_headRead = !ec && (m_parser->get().result_int() / 100 != 1 || ++m_interim > mostInterimAnswers);
+    }
+    if (m_broken)
+        co_return brokenEnd();
+    const auto& fields = m_parser->get();
+    const auto status = fields.result_int();
+    // Without a stated length, the end of the connection would look like the end of the answer.
+    if (status / 100 == 1 || m_parser->need_eof() || fields.count(bhttp::field::content_length) > 1) {
+        m_broken = true;
+        co_return CallEnd::Truncated;
+    }
+    const auto echoed = fields[requestIdHeader];
+    if (!echoed.empty() && echoed != id) {
+        m_broken = true;
+        co_return CallEnd::Mismatched;
+    }
+    const bool bodyless = method == bhttp::verb::head || status == 204 || status == 304;
+    co_return co_await holdBody(bodyless);
+}
+
+Awaitable<CallEnd> TargetCall::holdBody(bool bodyless)
+{
+    while (!m_parser->is_done() && m_held.size() < holdLimit) {
+        const auto old = m_held.size();
+        m_held.resize(std::min(holdLimit, old + std::size_t { 16 } * 1024));
+        const auto n = co_await readSome(m_held.data() + old, m_held.size() - old);
+        m_held.resize(old + n);
+        if (m_broken)
+            co_return brokenEnd();
+    }
+    // Bytes after a whole answer mean that the stated length is wrong, so the answer may be cut.
+    if (!bodyless && m_parser->is_done() && m_connection->buffer().size() != 0) {
+        m_broken = true;
+        co_return CallEnd::Truncated;
+    }
+    co_return CallEnd::Answered;
+}
+
+Awaitable<std::size_t> TargetCall::readSome(char* data, std::size_t size)
+{
+    auto& body = m_parser->get().body();
+    body.data = data;
+    body.size = size;
+    while (!m_parser->is_done() && body.size == size) {
+        error_code ec;
+        co_await bhttp::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, capture(ec));
+        if (ec && ec != bhttp::error::need_buffer) {
+            m_broken = true;
+            break;
+        }
+    }
+    co_return size - body.size;
+}
+
+std::optional<std::uint64_t> TargetCall::declaredLength() const
+{
+    const auto n = m_parser->content_length();
+    return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
+}
+
+bool TargetCall::reusable()
+{
+    return complete() && !m_sendFailed && m_interim == 0 && m_parser->keep_alive() && !m_connection->timedOut()
+        && m_connection->quiet();
+}
+
+} // namespace buckthorncroft::http
--- /dev/null
+++ b/src/http/target_call.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "connection.h"
+
+#include <buckthorncroft/base/clock.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace buckthorncroft::http {
+
+/// How far a call to a target got.
+enum class CallEnd {
+    Answered, ///< The head of the final answer was read, and its body whole or up to the holding limit.
+    ConnectFailed, ///< No connection; no byte was sent.
+    Truncated, ///< The connection ended early, or the answer is malformed or longer than it states.
+    Mismatched, ///< The answer echoes the id of another request.
+    TimedOut,
+    Cancelled,
+};
+
+/// Header by which a request is named towards a target, and which a target may echo.
+constexpr const char* requestIdHeader = "Buckthorncroft-Request-Id";
+
+/// Bytes of an answer that are held before any of it is passed on, so that a broken small answer can be replaced.
+constexpr std::size_t holdLimit = std::size_t { 64 } * 1024;
+
+/// One call over one connection. The connection is reusable only after a clean and complete exchange.
+class TargetCall {
+public:
+    explicit TargetCall(std::shared_ptr<Connection> connection);
+
+    /// Opens the connection. Returns false on failure; nothing was sent then.
+    Awaitable<bool> connect(tcp::endpoint endpoint);
+
+    /// Sends a whole request. Returns false when the connection broke; an answer may still be there to read.
+    Awaitable<bool> send(bhttp::request_header<> head, std::string_view body, bool hasBody);
+
+    /// Sends the head of a request whose body follows through `sendSome`.
+    Awaitable<bool> sendHead(bhttp::request_header<> head);
+
+    /// Sends a piece of the body; an empty piece ends it.
+    Awaitable<bool> sendSome(std::string_view piece);
+
+    /// Reads the answer's head, past interim answers, and its body up to `holdLimit`.
+    /// `onContinue` becomes true when the target asked for the body by 100 Continue; the call then returns early.
+    Awaitable<CallEnd> readAnswer(bhttp::verb method, std::string id);
+
+    /// Waits for 100 Continue. Returns true on it; false when a final answer's head or an error came instead, which
+    /// `readAnswer` then returns.
+    Awaitable<bool> awaitContinue(bhttp::verb method);
+
+    /// Reads the next piece of an answer that was not held whole. 0 bytes mean that the answer is complete, or that it
+    /// broke, as `complete` tells.
+    Awaitable<std::size_t> readSome(char* data, std::size_t size);
+
+    const bhttp::response_header<>& head() const { return m_parser->get().base(); }
+    const std::string& held() const { return m_held; }
+    bool complete() const { return m_parser && m_parser->is_done() && !m_broken; }
+    std::optional<std::uint64_t> declaredLength() const;
+
+    /// Whether the connection may serve another call.
+    bool reusable();
+
+    Connection& connection() { return *m_connection; }
+    std::shared_ptr<Connection> takeConnection() { return std::move(m_connection); }
+    bool sawAnswerBytes() const { return m_sawAnswerBytes; }
+
+private:
+    using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+    Awaitable<error_code> readHeadOnce(bhttp::verb method);
+    Awaitable<CallEnd> holdBody(bool bodyless);
+    CallEnd brokenEnd() const;
+
+    std::shared_ptr<Connection> m_connection;
+    std::optional<Parser> m_parser;
+    std::optional<bhttp::request<bhttp::buffer_body>> m_upload;
+    std::optional<bhttp::request_serializer<bhttp::buffer_body>> m_serializer;
+    std::string m_held;
+    unsigned m_interim = 0;
+    bool m_headRead = false;
+    bool m_sendFailed = false;
+    bool m_broken = false;
+    bool m_sawAnswerBytes = false;
+};
+
+} // namespace buckthorncroft::http
--- /dev/null
+++ b/tests/io/caller_framing_test.cpp
@@ -0,0 +1,232 @@
+#define BOOST_TEST_MODULE CallerFraming
+#include <boost/test/unit_test.hpp>
+
+#include "traffic_fixture.h"
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::test;
+
+namespace {
+
+bool startsWith(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+struct WellFixture : ServerFixture {
+    WellFixture()
+    {
+        addTarget(target.port());
+        start();
+    }
+
+    /// Sends raw bytes and returns everything that comes back until the connection is closed.
+    std::string exchange(const std::string& text)
+    {
+        const auto connection = caller();
+        connection->send(text);
+        return connection->readAll();
+    }
+
+    RawTarget target { [](RawConnection& peer, unsigned) { serveWell(peer); } };
+};
+
+} // namespace
+
+// Guards against request smuggling: two readers of one stream that disagree where a request ends.
+BOOST_FIXTURE_TEST_CASE(contradictingFramingIsRefusedAndClosed, WellFixture)
+{
+    const std::string head = "POST /book HTTP/1.1\r\nHost: s\r\n";
+    for (const std::string it :
+        { "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            "Content-Length: 3, 3\r\n\r\nabc", "Content-Length: -3\r\n\r\nabc", "Content-Length: +3\r\n\r\nabc",
+            "Content-Length: 3x\r\n\r\nabc",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "Transfer-Encoding: gzip\r\n\r\nabc",
+            "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n0\r\n\r\n", "Host: t\r\n\r\n", "Bad Header: x\r\n\r\n" }) {
+        // The second request must not be served, since nobody knows where it begins.
+        const auto answer = exchange(head + it + "GET /second HTTP/1.1\r\nHost: s\r\n\r\n");
+        BOOST_TEST(startsWith(answer, "HTTP/1.1 400 "), it << " -> " << answer);
+        BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run", it);
+        BOOST_TEST(answer.find("HTTP/1.1", 8) == std::string::npos, it);
+    }
+    BOOST_TEST(target.connections() == 0u);
+}
+
+// Guards against a header block that takes memory without bound, and against a silent close.
+BOOST_FIXTURE_TEST_CASE(largeHeaderBlockIsRefused, WellFixture)
+{
+    const auto answer = exchange("GET / HTTP/1.1\r\nHost: s\r\nX-Large: " + std::string(40000, 'x') + "\r\n\r\n");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 431 "));
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+}
+
+// Guards against an idempotent route that a path with dot segments leads out of, at a target that resolves them.
+BOOST_FIXTURE_TEST_CASE(dotSegmentsAreRefused, WellFixture)
+{
+    for (const std::string path : { "/a/../book", "/a/%2e%2E/book", "/a%2f..%2fbook", "/./book", "/a\\..\\book" }) {
+        const auto answer = call("GET", path, "Connection: close\r\n");
+        BOOST_TEST(startsWith(answer, "HTTP/1.1 400 "), path);
+    }
+    BOOST_TEST(startsWith(call("GET", "/a..b/c?x=/../y"), "HTTP/1.1 200 "));
+}
+
+// Guards against a body larger than the route allows, stated and in chunks.
+BOOST_FIXTURE_TEST_CASE(largeBodyIsRefused, WellFixture)
+{
+    const std::string body(1001, 'x');
+    BOOST_TEST(startsWith(call("POST", "/book", "", body), "HTTP/1.1 413 "));
+    const auto answer = exchange(
+        "POST /book HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + body + "\r\n0\r\n\r\n");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 413 "));
+    BOOST_TEST(target.connections() == 0u);
+}
+
+// Guards against a refused request that is reported as run, and against a crash on an unknown service or route.
+BOOST_FIXTURE_TEST_CASE(unknownServiceAndRouteAreNotRun, WellFixture)
+{
+    auto answer = call("DELETE", "/x");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 404 "));
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    answer = call("GET", "/x", "Buckthorncroft-Service: other\r\n");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 404 "));
+    answer = call("GET", "/x", "Buckthorncroft-Deadline-Ms: soon\r\n");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 400 "));
+    answer = call("GET", "/x", "Buckthorncroft-Deadline-Ms: 0\r\n");
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 503 "));
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+}
+
+// Guards against answers that are lost or change their order when a caller sends several requests at once.
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        while (true) {
+            const auto request = peer.readMessage();
+            if (request.empty())
+                return;
+            peer.send(okAnswer(request, request.substr(4, request.find(' ', 4) - 4)));
+        }
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto caller = fixture.caller();
+    std::string text;
+    for (int i = 0; i < 20; ++i)
+        text += "GET /n" + std::to_string(i) + " HTTP/1.1\r\nHost: s\r\n\r\n";
+    caller->send(text);
+    for (int i = 0; i < 20; ++i) {
+        const auto answer = caller->readMessage();
+        BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "/n" + std::to_string(i));
+    }
+    BOOST_TEST(target.connections() == 1u);
+}
+
+// Guards against headers of one connection that reach the other side, and against a lost body in chunks.
+BOOST_AUTO_TEST_CASE(hopByHopHeadersStopAndChunkedBodyArrives)
+{
+    std::string seen;
+    RawTarget target([&seen](RawConnection& peer, unsigned) {
+        seen = peer.readMessage();
+        peer.send("HTTP/1.1 200 OK\r\nConnection: keep-alive, X-Private\r\nX-Private: 1\r\nKeep-Alive: timeout=5\r\n"
+                  "Transfer-Encoding: chunked\r\nX-Public: 2\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        peer.readAll();
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto caller = fixture.caller();
+    caller->send("POST /book HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\nConnection: keep-alive, X-Mine\r\n"
+                 "X-Mine: 1\r\nTE: trailers\r\nUpgrade: h2c\r\nX-Theirs: 2\r\n\r\n4\r\nwxyz\r\n1\r\n!\r\n0\r\n\r\n");
+    const auto answer = caller->readMessage();
+    BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "abcde");
+    BOOST_TEST(headerOf(answer, "X-Public") == "2");
+    for (const std::string it : { "X-Private", "Keep-Alive", "Transfer-Encoding" })
+        BOOST_TEST(headerOf(answer, it).empty(), it);
+    BOOST_TEST(seen.substr(seen.find("\r\n\r\n") + 4) == "wxyz!");
+    BOOST_TEST(headerOf(seen, "X-Theirs") == "2");
+    for (const std::string it : { "X-Mine", "TE", "Upgrade", "Transfer-Encoding" })
+        BOOST_TEST(headerOf(seen, it).empty(), it);
+    BOOST_TEST(headerOf(seen, "Connection") == "close");
+    BOOST_TEST(!headerOf(seen, "Buckthorncroft-Deadline-Ms").empty());
+}
+
+// Guards against answers without a body that shift every later answer of the connection.
+BOOST_AUTO_TEST_CASE(answersWithoutBodyKeepTheConnectionInStep)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        while (true) {
+            const auto request = peer.readMessage(true);
+            if (request.empty())
+                return;
+            if (startsWith(request, "HEAD"))
+                peer.send("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n");
+            else if (startsWith(request, "GET /204"))
+                peer.send("HTTP/1.1 204 No Content\r\n\r\n");
+            else if (startsWith(request, "GET /304"))
+                peer.send("HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n");
+            else
+                peer.send(okAnswer(request, "end"));
+        }
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto caller = fixture.caller();
+    caller->send("HEAD /h HTTP/1.1\r\nHost: s\r\n\r\n");
+    auto answer = caller->readMessage(true);
+    BOOST_TEST(headerOf(answer, "Content-Length") == "999");
+    for (const std::string status : { "204", "304" }) {
+        caller->send("GET /" + status + " HTTP/1.1\r\nHost: s\r\n\r\n");
+        answer = caller->readMessage(true);
+        BOOST_TEST(startsWith(answer, "HTTP/1.1 " + status));
+    }
+    caller->send("GET /end HTTP/1.1\r\nHost: s\r\n\r\n");
+    answer = caller->readMessage();
+    BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "end");
+}
+
+// Guards against a caller that waits for 100 Continue until its own timeout, and against inviting a refused body.
+BOOST_FIXTURE_TEST_CASE(expectContinueIsAnswered, WellFixture)
+{
+    const auto connection = caller();
+    connection->send("POST /book HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    BOOST_TEST(connection->readThrough("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    connection->send("abc");
+    BOOST_TEST(startsWith(connection->readMessage(), "HTTP/1.1 200 "));
+    const auto refused = caller();
+    refused->send("POST /book HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 3000\r\n\r\n");
+    BOOST_TEST(startsWith(refused->readMessage(), "HTTP/1.1 413 "));
+}
+
+// Guards against idle connections that break when an instance stops, and against a stop that cuts a request off.
+BOOST_AUTO_TEST_CASE(stopFinishesWhatIsInFlight)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        const auto request = peer.readMessage();
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        peer.send(okAnswer(request, "late"));
+    });
+    ServerFixture fixture;
+    fixture.settings.trafficThreads = 2;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto idle = fixture.caller();
+    const auto busy = fixture.caller();
+    busy->send("POST /book HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n\r\n");
+    while (fixture.server->active() == 0)
+        std::this_thread::yield();
+    std::thread stopping([&fixture] { fixture.server->finish(); });
+    BOOST_TEST(idle->closedByPeer());
+    const auto answer = busy->readMessage();
+    BOOST_TEST(startsWith(answer, "HTTP/1.1 200 "));
+    BOOST_TEST(headerOf(answer, "Connection") == "close");
+    idle->close();
+    busy->close();
+    stopping.join();
+    BOOST_TEST(fixture.server->active() == 0u);
+    BOOST_TEST(fixture.server->memoryUsed() == 0u);
+}
--- /dev/null
+++ b/tests/io/traffic_fixture.h
@@ -0,0 +1,311 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <buckthorncroft/daemon/traffic_server.h>
+#include <condition_variable>
+#include <cstring>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace buckthorncroft::test {
+
+/// A blocking TCP connection with raw bytes, for peers that break the protocol on purpose.
+class RawConnection {
+public:
+    explicit RawConnection(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    RawConnection(const RawConnection&) = delete;
+    RawConnection& operator=(const RawConnection&) = delete;
+    ~RawConnection() { close(); }
+
+    static std::unique_ptr<RawConnection> connectTo(std::uint16_t port)
+    {
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        (void)::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        return std::make_unique<RawConnection>(fd);
+    }
+
+    void send(const std::string& text)
+    {
+        for (std::size_t done = 0; done < text.size();) {
+            const auto n = ::send(m_descriptor, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+            if (n <= 0)
+                return;
+            done += static_cast<std::size_t>(n);
+        }
+    }
+
+    /// Reads until `mark` has arrived, the other side closes or 10 s have passed. Returns and consumes the text up to
+    /// and with the mark.
+    std::string readThrough(const std::string& mark)
+    {
+        while (m_read.find(mark) == std::string::npos && readMore()) { }
+        const auto place = m_read.find(mark);
+        return take(place == std::string::npos ? m_read.size() : place + mark.size());
+    }
+
+    std::string readBytes(std::size_t n)
+    {
+        while (m_read.size() < n && readMore()) { }
+        return take(std::min(n, m_read.size()));
+    }
+
+    /// Reads everything until the other side closes.
+    std::string readAll()
+    {
+        while (readMore()) { }
+        return take(m_read.size());
+    }
+
+    /// Reads one message with a Content-Length, or without a body.
+    std::string readMessage(bool bodyless = false)
+    {
+        auto head = readThrough("\r\n\r\n");
+        const auto place = head.find("Content-Length: ");
+        if (place == std::string::npos || bodyless)
+            return head;
+        return head + readBytes(std::stoul(head.substr(place + 16)));
+    }
+
+    /// Whether the other side closes within 10 s without sending more.
+    bool closedByPeer() { return readAll().empty() && m_ended; }
+
+    /// Whether the connection ended with a reset.
+    bool wasReset() const { return m_reset; }
+
+    void close()
+    {
+        if (m_descriptor >= 0)
+            ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+
+private:
+    bool readMore()
+    {
+        pollfd it { m_descriptor, POLLIN, 0 };
+        if (m_ended || ::poll(&it, 1, 10'000) <= 0)
+            return false;
+        char buf[65536];
+        const auto n = ::recv(m_descriptor, buf, sizeof buf, 0);
+        m_reset = n < 0;
+        m_ended = n <= 0;
+        if (n > 0)
+            m_read.append(buf, static_cast<std::size_t>(n));
+        return n > 0;
+    }
+
+    std::string take(std::size_t n)
+    {
+        auto result = m_read.substr(0, n);
+        m_read.erase(0, n);
+        return result;
+    }
+
+    int m_descriptor;
+    std::string m_read;
+    bool m_ended = false;
+    bool m_reset = false;
+};
+
+/// A target that runs a script for each connection it accepts, given the connection and its number from 0.
+class RawTarget {
+public:
+    using Script = std::function<void(RawConnection&, unsigned)>;
+
+    explicit RawTarget(Script script)
+        : m_script(std::move(script))
+    {
+        m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        (void)::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size);
+        ::listen(m_listener, 64);
+        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+        m_acceptor = std::thread([this] { accept(); });
+    }
+    RawTarget(const RawTarget&) = delete;
+    RawTarget& operator=(const RawTarget&) = delete;
+    ~RawTarget()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_acceptor.join();
+        ::close(m_listener);
+        for (auto& it : m_peers)
+            it.join();
+    }
+
+    std::uint16_t port() const { return m_port; }
+    unsigned connections() const { return m_connections; }
+
+private:
+    void accept()
+    {
+        while (true) {
+            const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0)
+                return;
+            const unsigned number = m_connections++;
+            m_peers.emplace_back([this, fd, number] {
+                RawConnection peer(fd);
+                m_script(peer, number);
+            });
+        }
+    }
+
+    Script m_script;
+    int m_listener = -1;
+    std::uint16_t m_port = 0;
+    std::atomic<unsigned> m_connections { 0 };
+    std::thread m_acceptor;
+    std::vector<std::thread> m_peers;
+};
+
+/// Returns the value of a header in a raw message, or nothing.
+inline std::string headerOf(const std::string& message, const std::string& name)
+{
+    const auto place = message.find("\r\n" + name + ": ");
+    if (place == std::string::npos)
+        return {};
+    const auto begin = place + name.size() + 4;
+    return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+/// An answer as a well-behaved target gives it.
+inline std::string okAnswer(const std::string& request, const std::string& body, const std::string& extra = "")
+{
+    return "HTTP/1.1 200 OK\r\nBuckthorncroft-Request-Id: " + headerOf(request, "Buckthorncroft-Request-Id") + "\r\n"
+        + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Serves whole requests one after another with the same body, as a well-behaved target does.
+inline void serveWell(RawConnection& peer, const std::string& body = "well")
+{
+    while (true) {
+        const auto request = peer.readMessage();
+        if (request.empty())
+            return;
+        peer.send(okAnswer(request, body));
+    }
+}
+
+/// A server with one service `s`: GET below `/` is idempotent, POST below `/book` is not, PUT below `/up` uploads.
+class ServerFixture {
+public:
+    ServerFixture()
+    {
+        service.name = "s";
+        config::Route read { "read", "/", { "GET", "HEAD" }, config::RequestKind::Idempotent };
+        read.deadline = std::chrono::milliseconds(3000);
+        config::Route book { "book", "/book", { "POST" }, config::RequestKind::NonIdempotent };
+        book.deadline = std::chrono::milliseconds(3000);
+        book.maxBodyBytes = 1000;
+        config::Route upload { "up", "/up", { "PUT" }, config::RequestKind::Upload };
+        upload.deadline = std::chrono::milliseconds(3000);
+        upload.maxBodyBytes = 64 << 20;
+        service.routes = { read, book, upload };
+        settings.instance = "test";
+        settings.zone = "z1";
+        settings.callers.host = "127.0.0.1";
+        times.stall = std::chrono::milliseconds(1500);
+    }
+
+    void addTarget(std::uint16_t port, unsigned slots = 3)
+    {
+        config::Target target;
+        target.id = "t" + std::to_string(service.targets.size());
+        target.host = "127.0.0.1";
+        target.port = port;
+        target.zone = "z1";
+        target.slots = slots;
+        service.targets.push_back(target);
+    }
+
+    /// Publishes the service and starts the server.
+    void start()
+    {
+        config::Configuration configuration;
+        configuration.services.push_back(service);
+        snapshots.publish(daemon::makeSnapshot(configuration, 1));
+        daemon::TrafficDependencies dependencies { clock, snapshots, observations, *router, log };
+        dependencies.claims = claims;
+        dependencies.times = times;
+        dependencies.finished = [this](const daemon::FinishedRequest& it) {
+            const std::lock_guard lock(m_mutex);
+            m_finished.push_back(it);
+            m_changed.notify_all();
+        };
+        server = std::make_unique<daemon::TrafficServer>(settings, dependencies);
+        (void)server->start();
+    }
+
+    std::unique_ptr<RawConnection> caller() { return RawConnection::connectTo(server->port()); }
+
+    /// Sends one request on its own connection and returns the answer.
+    std::string call(const std::string& method, const std::string& path, const std::string& headers = "",
+        const std::string& body = "")
+    {
+        const auto connection = caller();
+        connection->send(method + " " + path + " HTTP/1.1\r\nHost: s\r\n" + headers
+            + (method == "GET" || method == "HEAD" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n")
+            + "\r\n" + body);
+        return connection->readMessage(method == "HEAD");
+    }
+
+    /// Waits until `n` requests have finished, for at most 10 s, and returns them.
+    std::vector<daemon::FinishedRequest> finished(std::size_t n)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, std::chrono::seconds(10), [&] { return m_finished.size() >= n; });
+        return m_finished;
+    }
+
+    /// Takes observations until one final observation has arrived, for at most 10 s.
+    health::Verdict nextVerdict()
+    {
+        for (int i = 0; i < 2000; ++i) {
+            for (const auto& it : observations.drain(1)) {
+                if (!it.pending)
+                    return it.observation.verdict;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return health::Verdict::Cancelled;
+    }
+
+    config::Service service;
+    daemon::InstanceSettings settings;
+    daemon::TrafficTimes times;
+    base::SystemClock clock;
+    daemon::SnapshotStore snapshots;
+    daemon::ObservationQueue observations;
+    std::unique_ptr<routing::Router> router = routing::makeTwoChoicesRouter("z1");
+    observe::Logger log { clock, "test", "z1", observe::Level::Error };
+    outcome::ClaimService* claims = nullptr;
+    std::unique_ptr<daemon::TrafficServer> server;
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<daemon::FinishedRequest> m_finished;
+};
+
+} // namespace buckthorncroft::test
