--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -168,7 +168,7 @@
     m_done = std::move(done);
     http::asio::co_spawn(
         m_context.io,
-        [self = shared_from_this(), onContinue = std::move(onContinue)]() {
+        [self = shared_from_this(), onContinue = std::move(onContinue)]() mutable {
             return self->receiveStreamed(std::move(onContinue));
         },
         http::asio::detached);
--- a/src/daemon/attempt_race.cpp
+++ b/src/daemon/attempt_race.cpp
@@ -91,7 +91,7 @@
 std::shared_ptr<Attempt> AttemptRace::takeAnswer()
 {
     for (auto it = m_running.begin(); it != m_running.end();) {
-        const auto attempt = *it;
+        auto attempt = *it;
         if (attempt->state() == AttemptState::Running) {
             ++it;
             continue;
--- a/src/daemon/request_answer.cpp
+++ b/src/daemon/request_answer.cpp
@@ -11,10 +11,10 @@
 
     using outcome::Outcome;
 
-    constexpr std::size_t pieceBytes = 16 * 1024;
+    constexpr std::size_t pieceBytes = std::size_t { 16 } * 1024;
 
     // Larger answers would make the claims table grow faster than the platform's limits allow.
-    constexpr std::size_t recordLimit = 16 * 1024;
+    constexpr std::size_t recordLimit = std::size_t { 16 } * 1024;
 
     constexpr const char* outcomeHeader = "Buckthorncroft-Outcome";
 
--- a/src/daemon/request_executor.h
+++ b/src/daemon/request_executor.h
@@ -34,7 +34,7 @@
     using MaybeEnding = std::optional<Ending>;
 
     MaybeEnding findService();
-    MaybeEnding checkHead() const;
+    MaybeEnding checkHead();
     MaybeEnding refuseEarly();
     http::Awaitable<MaybeEnding> prepare();
     http::Awaitable<MaybeEnding> readBody();
@@ -77,6 +77,7 @@
     unsigned m_attempts = 0;
     MaybeEnding m_uploadFault; ///< What was wrong with a streamed body.
     bool m_replayed = false; ///< The recorded answer of an earlier request was sent.
+    bool m_framingDoubtful = false; ///< Nobody knows where the next request begins.
     bool m_callerLost = false; ///< The caller left, or an answer could not be completed.
 };
 
--- a/src/daemon/request_upload.cpp
+++ b/src/daemon/request_upload.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-    using outcome::Outcome;
-
-    constexpr std::size_t pieceBytes = 16 * 1024;
+    constexpr std::size_t pieceBytes = std::size_t { 16 } * 1024;
 
     struct UploadSignals {
         explicit UploadSignals(http::asio::io_context& io)
--- a/src/daemon/session.cpp
+++ b/src/daemon/session.cpp
@@ -85,7 +85,7 @@
         co_return;
     m_connection->socket().shutdown(http::tcp::socket::shutdown_send, ec);
     m_connection->closeAt(m_context.clock().now() + discardTime);
-    std::string discarded(16 * 1024, '\0');
+    std::string discarded(std::size_t { 16 } * 1024, '\0');
     for (std::size_t n = 0; !ec && n < discardBytes;)
         n += co_await m_connection->socket().async_read_some(http::asio::buffer(discarded), http::capture(ec));
     m_connection->close();
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     // Larger than any accepted header block, which Beast must hold in one piece.
-    constexpr std::size_t readBufferLimit = 128 * 1024;
+    constexpr std::size_t readBufferLimit = std::size_t { 128 } * 1024;
 
 } // namespace
 
