Look up coordinators in a table built once per round

A leaving target that refused by the not-run contract was counted as shedding, so its drain was not heard. Conclusion: the cost per service no longer follows the size of the whole fleet.

--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -139,6 +139,8 @@
     void evaluatePools(base::SteadyTime now);
     void addWindows(std::map<std::string, OutgoingReport>& outgoing, base::SteadyTime now);
     void addRelays(std::map<std::string, OutgoingReport>& outgoing, base::SteadyTime now);
+    void relayService(
+        std::map<std::string, OutgoingReport>& outgoing, const std::string& service, base::SteadyTime now);
     void addHeartbeat(std::map<std::string, OutgoingReport>& outgoing, base::SteadyTime now);
     wire::Report makeReport(base::SteadyTime now);
     wire::ServiceReport& servicePart(wire::Report& report, const std::string& service, base::SteadyTime now);
@@ -150,6 +152,7 @@
 
     ControlSettings m_settings;
     membership::Membership m_members;
+    membership::CoordinatorTable m_coordinators; ///< As of the last tick or exchange.
     membership::DrainTracker m_drains;
     health::Reporter m_reporter;
     std::mt19937_64 m_random;
--- a/include/buckthorncroft/membership/membership.h
+++ b/include/buckthorncroft/membership/membership.h
@@ -27,6 +27,23 @@
     std::chrono::milliseconds age { 0 };
 };
 
+/// The coordinators of services as they follow from one view of the live instances. Built once for many lookups.
+class CoordinatorTable {
+public:
+    CoordinatorTable() = default;
+    explicit CoordinatorTable(const std::vector<Peer>& live);
+
+    /// The instance that coordinates `service` in `zone`, or null when the zone has no live instance. Valid as long as
+    /// the table.
+    const Peer* find(const std::string& service, const std::string& zone) const;
+
+    /// Zones with a live instance, sorted.
+    std::vector<std::string> zones() const;
+
+private:
+    std::map<std::string, std::vector<Peer>> m_zones;
+};
+
 /// Bounds and timeouts of membership.
 struct MembershipSettings {
     /// Without direct or relayed contact for this long a peer is not live. Several times the exchange interval of
@@ -74,9 +91,6 @@
     /// that of the peer's own latest message, so relays cannot keep a dead peer alive by echoing each other.
     std::vector<PeerAge> takeRelay(std::size_t count, base::SteadyTime now);
 
-    /// The instance that coordinates `service` in `zone`, or nothing when the zone has no live instance.
-    std::optional<Peer> coordinator(const std::string& service, const std::string& zone, base::SteadyTime now) const;
-
 private:
     struct Entry {
         Peer peer;
--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -208,7 +208,8 @@
     const auto& contract = m_placement.service->notRun;
     if (head.result_int() == contract.status && isTrue(head[contract.header])) {
         m_outcome->refusedNotRun(m_outcomeId);
-        conclude(AttemptState::Refused, Verdict::Shed);
+        // A leaving target refuses by the same contract; the drain must be heard even then.
+        conclude(AttemptState::Refused, isTrue(head[drainingHeader]) ? Verdict::Draining : Verdict::Shed);
         return;
     }
     m_state = AttemptState::Answered;
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -281,7 +281,7 @@
 {
     std::vector<std::map<health::Reporter, std::set<std::string>>> deviating;
     for (auto& [name, state] : m_services) {
-        const auto coordinator = m_members.coordinator(name, m_reporter.zone, now);
+        const auto* coordinator = m_coordinators.find(name, m_reporter.zone);
         state->coordinator = coordinator && coordinator->instance == m_reporter.instance;
         if (!state->coordinator)
             continue;
@@ -298,6 +298,7 @@
 void ControlState::tick(base::SteadyTime now)
 {
     m_members.expire(now);
+    m_coordinators = membership::CoordinatorTable(m_members.live(now));
     endDrains(now);
     evaluatePools(now);
     for (auto& [name, state] : m_services)
@@ -378,7 +379,7 @@
 void ControlState::addWindows(std::map<std::string, OutgoingReport>& outgoing, base::SteadyTime now)
 {
     for (auto& [name, state] : m_services) {
-        const auto coordinator = m_members.coordinator(name, m_reporter.zone, now);
+        const auto* coordinator = m_coordinators.find(name, m_reporter.zone);
         if (!coordinator)
             continue;
         if (coordinator->instance == m_reporter.instance) {
@@ -395,28 +396,29 @@
     }
 }
 
-// Coordinators of one service exchange what their zones reported.
+// Sends what the own zone reported about one service to its coordinators in the other zones.
+void ControlState::relayService(
+    std::map<std::string, OutgoingReport>& outgoing, const std::string& service, base::SteadyTime now)
+{
+    auto& state = *find(service);
+    auto zones = m_coordinators.zones();
+    std::erase(zones, m_reporter.zone);
+    const auto changed = state.pool.relay(state.lastRelay - relayOverlap, now, maxRelayedWindows);
+    const auto windows
+        = selectForRelay(changed, state.pooled, affordableWindows() / std::max<std::size_t>(1, zones.size()));
+    state.lastRelay = now;
+    for (const auto& zone : zones) {
+        auto& part = servicePart(reportFor(outgoing, *m_coordinators.find(service, zone), now).report, service, now);
+        part.windows.insert(part.windows.end(), windows.begin(), windows.end());
+        m_budget -= static_cast<double>(windows.size()) * bytesPerWindow;
+    }
+}
+
 void ControlState::addRelays(std::map<std::string, OutgoingReport>& outgoing, base::SteadyTime now)
 {
-    std::set<std::string> zones;
-    for (const auto& it : m_members.live(now))
-        zones.insert(it.zone);
-    zones.erase(m_reporter.zone);
-    for (auto& [name, state] : m_services) {
-        if (!state->coordinator)
-            continue;
-        const auto changed = state->pool.relay(state->lastRelay - relayOverlap, now, maxRelayedWindows);
-        const auto windows
-            = selectForRelay(changed, state->pooled, affordableWindows() / std::max<std::size_t>(1, zones.size()));
-        state->lastRelay = now;
-        for (const auto& zone : zones) {
-            const auto coordinator = m_members.coordinator(name, zone, now);
-            if (!coordinator)
-                continue;
-            auto& part = servicePart(reportFor(outgoing, *coordinator, now).report, name, now);
-            part.windows.insert(part.windows.end(), windows.begin(), windows.end());
-            m_budget -= static_cast<double>(windows.size()) * bytesPerWindow;
-        }
+    for (const auto& [name, state] : m_services) {
+        if (state->coordinator)
+            relayService(outgoing, name, now);
     }
 }
 
@@ -449,6 +451,7 @@
         return {};
     m_lastExchange = now;
     refillBudget(now);
+    m_coordinators = membership::CoordinatorTable(m_members.live(now));
     std::map<std::string, OutgoingReport> outgoing;
     if (m_budget > 0) {
         addWindows(outgoing, now);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -149,22 +149,36 @@
     return result;
 }
 
-std::optional<Peer> Membership::coordinator(
-    const std::string& service, const std::string& zone, base::SteadyTime now) const
+CoordinatorTable::CoordinatorTable(const std::vector<Peer>& live)
 {
-    const auto peers = live(now);
-    std::optional<Peer> best;
+    for (const auto& it : live)
+        m_zones[it.zone].push_back(it);
+}
+
+const Peer* CoordinatorTable::find(const std::string& service, const std::string& zone) const
+{
+    const auto it = m_zones.find(zone);
+    if (it == m_zones.end())
+        return nullptr;
+    const Peer* best = nullptr;
     std::uint64_t bestScore = 0;
-    for (const auto& it : peers) {
-        if (it.zone != zone)
-            continue;
-        const auto score = rendezvousScore(service, it.instance);
+    for (const auto& peer : it->second) {
+        const auto score = rendezvousScore(service, peer.instance);
         if (!best || score > bestScore) {
-            best = it;
+            best = &peer;
             bestScore = score;
         }
     }
     return best;
 }
 
+std::vector<std::string> CoordinatorTable::zones() const
+{
+    std::vector<std::string> result;
+    result.reserve(m_zones.size());
+    for (const auto& [zone, peers] : m_zones)
+        result.push_back(zone);
+    return result;
+}
+
 } // namespace buckthorncroft::membership
