Test the traffic path against raw peers, and keep its reports honest

Conclusion: the listed failures are guarded. Memory stays within a budget of 1 MB for uploads of 20 MB.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -197,6 +197,7 @@
 {
     if (m_ended)
         return;
+    m_bodySent = true;
     m_started = m_firstByte = m_context.clock().now();
     m_answerBy = answerBy;
     m_connection->closeAt(answerBy);
@@ -268,6 +269,9 @@
 
 void Attempt::reportPending(base::SteadyTime now) const
 {
+    // While a body moves, the attempt's age depends on the caller.
+    if (m_request->streamed && !m_bodySent)
+        return;
     m_context.shared.dependencies.observations.push({ m_placement.service, observation(now), m_number, true });
 }
 
--- a/src/daemon/attempt.h
+++ b/src/daemon/attempt.h
@@ -106,6 +106,7 @@
     base::SteadyTime m_firstByte;
     base::SteadyTime m_answerBy;
     bool m_sent = false;
+    bool m_bodySent = false; ///< The body of a streamed request is complete.
     bool m_reused = false;
     bool m_ended = false;
 };
--- a/src/daemon/request_answer.cpp
+++ b/src/daemon/request_answer.cpp
@@ -53,16 +53,20 @@
     if (sent)
         sent = co_await m_caller.sendSome(call.held());
     std::string piece(pieceBytes, '\0');
+    std::chrono::nanoseconds heldBack { 0 }; // Time in which the target had to wait for the caller.
     while (sent) {
         const auto n = co_await call.readSome(piece.data(), piece.size());
         if (n == 0)
             break;
+        const auto before = m_context.clock().now();
         sent = co_await m_caller.sendSome(std::string_view(piece).substr(0, n));
+        heldBack += m_context.clock().now() - before;
     }
-    if (!sent) {
-        // The caller left; this says nothing about the target.
+    if (!sent || (!call.complete() && heldBack > m_route->deadline / 2)) {
+        // The caller left or was slow; this says nothing about the target.
         attempt.abandon(health::Verdict::Cancelled);
         m_callerLost = true;
+        m_caller.connection().reset();
         co_return false;
     }
     const bool whole = call.complete();
--- a/src/daemon/service_traffic.cpp
+++ b/src/daemon/service_traffic.cpp
@@ -31,11 +31,12 @@
 
 } // namespace
 
-SlotLease::SlotLease(
-    std::shared_ptr<ServiceTraffic> traffic, std::shared_ptr<TargetState> state, config::RequestKind kind)
+SlotLease::SlotLease(std::shared_ptr<ServiceTraffic> traffic, std::shared_ptr<TargetState> state,
+    config::RequestKind kind, unsigned connectionShare)
     : m_traffic(std::move(traffic))
     , m_state(std::move(state))
     , m_kind(kind)
+    , m_connectionShare(connectionShare)
 {
 }
 
@@ -61,8 +62,8 @@
             return last.release();
         --m_state->connections;
     }
-    // A fresh connection replaces an idle one, so that the count never exceeds what the choice allowed.
-    if (!idle.empty()) {
+    // At its share, the instance closes an idle connection to make room for the fresh one.
+    if (!idle.empty() && m_state->connections >= m_connectionShare) {
         idle.erase(idle.begin());
         return -1;
     }
@@ -159,7 +160,8 @@
         return std::nullopt;
     const auto& state = m_targets[*decision.target];
     ++state->inFlight;
-    return Placement { m_service, std::make_shared<SlotLease>(shared_from_this(), state, request.kind),
+    return Placement { m_service,
+        std::make_shared<SlotLease>(shared_from_this(), state, request.kind, load[*decision.target].connectionShare),
         std::move(decision) };
 }
 
--- a/src/daemon/service_traffic.h
+++ b/src/daemon/service_traffic.h
@@ -34,7 +34,9 @@
 /// A slot of one target, taken for one attempt; released with the object.
 class SlotLease {
 public:
-    SlotLease(std::shared_ptr<ServiceTraffic> traffic, std::shared_ptr<TargetState> state, config::RequestKind kind);
+    /// `connectionShare`: connections that this instance may hold at the target.
+    SlotLease(std::shared_ptr<ServiceTraffic> traffic, std::shared_ptr<TargetState> state, config::RequestKind kind,
+        unsigned connectionShare);
     SlotLease(const SlotLease&) = delete;
     SlotLease& operator=(const SlotLease&) = delete;
     ~SlotLease();
@@ -53,6 +55,7 @@
     std::shared_ptr<ServiceTraffic> m_traffic;
     std::shared_ptr<TargetState> m_state;
     config::RequestKind m_kind;
+    unsigned m_connectionShare;
     bool m_connected = false;
 };
 
--- /dev/null
+++ b/tests/io/attempts_test.cpp
@@ -0,0 +1,275 @@
+#define BOOST_TEST_MODULE Attempts
+#include <boost/test/unit_test.hpp>
+
+#include "traffic_fixture.h"
+
+#include <buckthorncroft/outcome/claim_service.h>
+#include <map>
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::test;
+
+namespace {
+
+const std::string notRunAnswer = "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+
+std::string statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? answer.substr(9, 3) : "";
+}
+
+/// Claims in memory, with a permission to send that can be set.
+class FakeClaims final : public outcome::ClaimService {
+public:
+    void acquire(
+        const outcome::ClaimRequest& request, base::SteadyTime, std::function<void(outcome::ClaimResult)> done) override
+    {
+        const std::lock_guard lock(m_mutex);
+        outcome::ClaimResult result;
+        const auto it = m_rows.find(request.key);
+        if (it == m_rows.end()) {
+            m_rows[request.key];
+            result = { outcome::ClaimStatus::Held, "token", clock.now() + sendFor, {} };
+        } else if (it->second) {
+            result = { outcome::ClaimStatus::Replay, "", {}, it->second };
+        } else {
+            result.status = outcome::ClaimStatus::InProgress;
+        }
+        done(result);
+    }
+    void release(const outcome::ClaimRequest& request, const std::string&) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rows.erase(request.key);
+        ++releases;
+    }
+    void complete(
+        const outcome::ClaimRequest& request, const std::string&, const outcome::RecordedAnswer& answer) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rows[request.key] = answer;
+    }
+
+    base::SystemClock clock;
+    std::chrono::seconds sendFor { 5 };
+    std::atomic<unsigned> releases { 0 };
+
+private:
+    std::mutex m_mutex;
+    std::map<std::string, std::optional<outcome::RecordedAnswer>> m_rows;
+};
+
+struct Counted {
+    explicit Counted(const std::string& answer)
+        : target([this, answer](RawConnection& peer, unsigned) {
+            while (!peer.readMessage().empty()) {
+                ++requests;
+                peer.send(answer);
+            }
+        })
+    {
+    }
+    std::atomic<unsigned> requests { 0 };
+    RawTarget target;
+};
+
+} // namespace
+
+// Guards against a retry storm: attempts stay within 1.1 times the requests even if every answer is a failure.
+BOOST_AUTO_TEST_CASE(attemptsStayWithinTheRetryBudget)
+{
+    Counted a("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    Counted b("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    ServerFixture fixture;
+    fixture.addTarget(a.target.port());
+    fixture.addTarget(b.target.port());
+    fixture.start();
+    for (int i = 0; i < 60; ++i)
+        BOOST_TEST(statusOf(fixture.call("GET", "/")) == "500");
+    BOOST_TEST(a.requests + b.requests > 60u);
+    BOOST_TEST(a.requests + b.requests <= 66u);
+}
+
+// Guards against a non-idempotent request that runs twice, however the answer is lost.
+BOOST_AUTO_TEST_CASE(nonIdempotentRequestIsSentOnce)
+{
+    Counted a("");
+    Counted b("");
+    ServerFixture fixture;
+    fixture.addTarget(a.target.port());
+    fixture.addTarget(b.target.port());
+    fixture.start();
+    for (int i = 0; i < 12; ++i)
+        (void)fixture.call("GET", "/", "Buckthorncroft-Deadline-Ms: 50\r\n");
+    const auto before = a.requests + b.requests;
+    const auto answer = fixture.call("POST", "/book", "Buckthorncroft-Deadline-Ms: 100\r\n");
+    BOOST_TEST(statusOf(answer) == "504");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "unknown");
+    BOOST_TEST(a.requests + b.requests == before + 1);
+}
+
+// Guards against "not run" answers that are told as unknown, and against a closed port that is told as unknown.
+BOOST_AUTO_TEST_CASE(refusedAndUnreachableAreNotRun)
+{
+    Counted a(notRunAnswer);
+    ServerFixture fixture;
+    fixture.addTarget(a.target.port());
+    fixture.start();
+    auto answer = fixture.call("POST", "/book");
+    BOOST_TEST(statusOf(answer) == "503");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    BOOST_TEST(!headerOf(answer, "Retry-After").empty());
+    BOOST_TEST(health::toString(fixture.nextVerdict()) == "shed");
+    ServerFixture closed;
+    closed.addTarget(1);
+    closed.start();
+    answer = closed.call("POST", "/book");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    BOOST_TEST(health::toString(closed.nextVerdict()) == "connect_failed");
+}
+
+// Guards against a failure status that replaces a good answer of another target.
+BOOST_AUTO_TEST_CASE(idempotentRequestIsRetriedOnAnotherTarget)
+{
+    Counted bad("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    RawTarget good([](RawConnection& peer, unsigned) { serveWell(peer); });
+    ServerFixture fixture;
+    fixture.addTarget(good.port());
+    fixture.start();
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(statusOf(fixture.call("GET", "/")) == "200");
+    // The new record makes the failing target known after the budget was earned.
+    fixture.addTarget(bad.target.port(), 100);
+    config::Configuration configuration;
+    configuration.services.push_back(fixture.service);
+    fixture.snapshots.publish(daemon::makeSnapshot(configuration, 1));
+    for (int i = 0; i < 100 && bad.requests == 0; ++i)
+        BOOST_TEST(statusOf(fixture.call("GET", "/")) == "200");
+    BOOST_TEST(bad.requests == 1u);
+}
+
+// Guards against a hanging target that costs each caller its deadline, although a second attempt is allowed.
+BOOST_AUTO_TEST_CASE(lateAttemptIsHedgedAfterTheP95)
+{
+    std::atomic<bool> hang { false };
+    std::atomic<unsigned> cut { 0 };
+    const auto script = [&](RawConnection& peer, unsigned) {
+        while (true) {
+            const auto request = peer.readMessage();
+            if (request.empty())
+                return;
+            if (hang.exchange(false)) {
+                cut += peer.closedByPeer();
+                return;
+            }
+            peer.send(okAnswer(request, "well"));
+        }
+    };
+    RawTarget a(script);
+    RawTarget b(script);
+    ServerFixture fixture;
+    fixture.service.routes[0].hedge = true;
+    fixture.addTarget(a.port());
+    fixture.addTarget(b.port());
+    fixture.start();
+    for (int i = 0; i < 70; ++i)
+        (void)fixture.call("GET", "/");
+    hang = true;
+    BOOST_TEST(statusOf(fixture.call("GET", "/")) == "200");
+    BOOST_TEST(fixture.finished(71).back().attempts == 2u);
+    BOOST_TEST(fixture.finished(71).back().duration < std::chrono::milliseconds(2500));
+    for (int i = 0; i < 100 && cut == 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    BOOST_TEST(cut == 1u);
+}
+
+// Guards against a caller's retry that books twice, and against a key that blocks a request that never ran.
+BOOST_AUTO_TEST_CASE(keyedRequestRunsOnceAndIsReplayed)
+{
+    Counted a("HTTP/1.1 201 Created\r\nX-Booking: 7\r\nContent-Length: 4\r\n\r\ndone");
+    FakeClaims claims;
+    ServerFixture fixture;
+    fixture.claims = &claims;
+    fixture.addTarget(a.target.port());
+    fixture.start();
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = fixture.call("POST", "/book", "Idempotency-Key: k1\r\n", "x");
+        BOOST_TEST(statusOf(answer) == "201");
+        BOOST_TEST(headerOf(answer, "X-Booking") == "7");
+        BOOST_TEST(headerOf(answer, "Buckthorncroft-Replayed") == (i == 0 ? "" : "true"));
+        BOOST_TEST(answer.substr(answer.size() - 4) == "done");
+    }
+    BOOST_TEST(a.requests == 1u);
+    // The holder was paused until its permission to send had passed.
+    claims.sendFor = std::chrono::seconds(0);
+    const auto answer = fixture.call("POST", "/book", "Idempotency-Key: k2\r\n", "x");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    BOOST_TEST(claims.releases == 1u);
+    BOOST_TEST(a.requests == 1u);
+}
+
+// Guards against keyed requests that run without a claim.
+BOOST_AUTO_TEST_CASE(keyedRequestWithoutClaimServiceIsNotRun)
+{
+    Counted a("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ServerFixture fixture;
+    fixture.service.routes[1].requireIdempotencyKey = true;
+    fixture.addTarget(a.target.port());
+    fixture.start();
+    BOOST_TEST(statusOf(fixture.call("POST", "/book", "Idempotency-Key: k\r\n")) == "503");
+    BOOST_TEST(statusOf(fixture.call("POST", "/book")) == "400");
+    BOOST_TEST(a.requests == 0u);
+}
+
+// Guards against more work at a target than it has slots, and against requests that are lost in the queue.
+BOOST_AUTO_TEST_CASE(slotsBoundTheWorkAtATarget)
+{
+    std::atomic<int> running { 0 };
+    std::atomic<int> most { 0 };
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        const auto request = peer.readMessage();
+        const int n = ++running;
+        for (int old = most; old < n && !most.compare_exchange_weak(old, n);) { }
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        --running;
+        peer.send(okAnswer(request, "x"));
+    });
+    ServerFixture fixture;
+    fixture.settings.trafficThreads = 3;
+    fixture.addTarget(target.port(), 2);
+    fixture.start();
+    std::vector<std::thread> callers;
+    std::atomic<unsigned> good { 0 };
+    for (int i = 0; i < 20; ++i)
+        callers.emplace_back([&] { good += statusOf(fixture.call("POST", "/book")) == "200"; });
+    for (auto& it : callers)
+        it.join();
+    BOOST_TEST(good == 20u);
+    BOOST_TEST(most <= 2);
+}
+
+// Guards against requests that wait without bound for a target that does not answer.
+BOOST_AUTO_TEST_CASE(fullQueueRefusesEarly)
+{
+    RawTarget target([](RawConnection& peer, unsigned) { peer.readAll(); });
+    ServerFixture fixture;
+    fixture.service.queueLimit = 1;
+    fixture.addTarget(target.port(), 1);
+    fixture.start();
+    const auto first = fixture.caller();
+    first->send("POST /book HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n\r\n");
+    while (target.connections() == 0)
+        std::this_thread::yield();
+    const auto second = fixture.caller();
+    second->send("POST /book HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n\r\n");
+    while (fixture.server->active() < 2)
+        std::this_thread::yield();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const auto answer = fixture.call("POST", "/book");
+    BOOST_TEST(statusOf(answer) == "503");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    BOOST_TEST(!headerOf(answer, "Retry-After").empty());
+    // The one that waits is told at its deadline that it did not run; the one that was sent may have run.
+    BOOST_TEST(headerOf(second->readMessage(), "Buckthorncroft-Outcome") == "not-run");
+    BOOST_TEST(headerOf(first->readMessage(), "Buckthorncroft-Outcome") == "unknown");
+}
--- /dev/null
+++ b/tests/io/target_answers_test.cpp
@@ -0,0 +1,178 @@
+#define BOOST_TEST_MODULE TargetAnswers
+#include <boost/test/unit_test.hpp>
+
+#include "traffic_fixture.h"
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::test;
+
+namespace {
+
+std::string statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? answer.substr(9, 3) : "";
+}
+
+std::string bodyOf(const std::string& answer)
+{
+    const auto place = answer.find("\r\n\r\n");
+    return place == std::string::npos ? "" : answer.substr(place + 4);
+}
+
+/// One target that answers each request with fixed bytes and leaves its connections open.
+struct FixedAnswer : ServerFixture {
+    explicit FixedAnswer(const std::string& answer, bool closeAfter = false)
+        : target([answer, closeAfter](RawConnection& peer, unsigned) {
+            while (!peer.readMessage().empty()) {
+                peer.send(answer);
+                if (closeAfter)
+                    return;
+            }
+        })
+    {
+        addTarget(target.port());
+        start();
+    }
+    RawTarget target;
+};
+
+} // namespace
+
+// Guards against an answer that ended early and is passed on as whole, and against reuse of its connection.
+BOOST_AUTO_TEST_CASE(brokenAnswersAreUnknownAndTheirConnectionsAreNotReused)
+{
+    using health::Verdict;
+    const std::vector<std::pair<std::string, Verdict>> cases = {
+        { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\n\r\nuntil the end of the connection", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nBuckthorncroft-Request-Id: other\r\nContent-Length: 3\r\n\r\nabc", Verdict::Mismatched },
+        { "HTTP/1.1 101 Switching Protocols\r\n\r\n", Verdict::Truncated },
+        { "nonsense\r\n\r\n", Verdict::Truncated },
+        { "", Verdict::Truncated },
+    };
+    for (const auto& [bytes, verdict] : cases) {
+        FixedAnswer fixture(bytes, true);
+        for (const std::string method : { "GET", "POST" }) {
+            const auto answer = fixture.call(method, "/book");
+            BOOST_TEST(statusOf(answer) == "502", bytes << " -> " << answer);
+            BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "unknown", bytes);
+            BOOST_TEST(health::toString(fixture.nextVerdict()) == health::toString(verdict), bytes);
+        }
+        BOOST_TEST(fixture.target.connections() == 2u, bytes);
+    }
+}
+
+// Guards against a truncated large answer that looks whole to the caller.
+BOOST_AUTO_TEST_CASE(truncationOfStreamedAnswerReachesTheCaller)
+{
+    const std::string piece(300'000, 'x');
+    for (const std::string framing :
+        { "Content-Length: 400000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n493e0\r\n" }) {
+        FixedAnswer fixture("HTTP/1.1 200 OK\r\n" + framing + piece, true);
+        const auto caller = fixture.caller();
+        caller->send("GET / HTTP/1.1\r\nHost: s\r\n\r\n");
+        const auto answer = caller->readAll();
+        BOOST_TEST(answer.size() < 400'000u);
+        BOOST_TEST((answer.size() < 5 || answer.substr(answer.size() - 5) != "0\r\n\r\n"));
+        const auto finished = fixture.finished(1);
+        BOOST_REQUIRE_EQUAL(finished.size(), 1u);
+        BOOST_TEST((finished[0].outcome == outcome::Outcome::Unknown));
+    }
+}
+
+// Guards against an answer that arrives after its deadline and is then taken for the next request's answer.
+BOOST_AUTO_TEST_CASE(lateAnswerIsUnknownAndNeverReachesTheNextRequest)
+{
+    RawTarget target([](RawConnection& peer, unsigned number) {
+        const auto request = peer.readMessage();
+        if (number == 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        peer.send(okAnswer(request, "answer " + std::to_string(number)));
+        peer.readAll();
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    auto answer = fixture.call("GET", "/", "Buckthorncroft-Deadline-Ms: 150\r\n");
+    BOOST_TEST(statusOf(answer) == "504");
+    BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "unknown");
+    BOOST_TEST(health::toString(fixture.nextVerdict()) == "timed_out");
+    BOOST_TEST(bodyOf(fixture.call("GET", "/")) == "answer 1");
+}
+
+// Guards against an interim answer that is taken for the answer, so that the next request gets this one's.
+BOOST_AUTO_TEST_CASE(interimAnswersAreSkipped)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        while (true) {
+            const auto request = peer.readMessage();
+            if (request.empty())
+                return;
+            peer.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+            peer.send(okAnswer(request, request.substr(4, 2)));
+        }
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    for (const std::string path : { "/a", "/b", "/c" })
+        BOOST_TEST(bodyOf(fixture.call("GET", path)) == path);
+    BOOST_TEST(target.connections() == 3u);
+}
+
+// Guards against a non-idempotent request on a connection that may be half closed, and against needless connections
+// for idempotent ones.
+BOOST_AUTO_TEST_CASE(onlyIdempotentRequestsReuseConnections)
+{
+    RawTarget target([](RawConnection& peer, unsigned) { serveWell(peer); });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(statusOf(fixture.call("GET", "/")) == "200");
+    BOOST_TEST(target.connections() == 1u);
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(statusOf(fixture.call("POST", "/book", "", "x")) == "200");
+    BOOST_TEST(target.connections() == 4u);
+}
+
+// Guards against an unknown outcome, or a cost to the retry budget, when a target closes an idle connection.
+BOOST_AUTO_TEST_CASE(idleConnectionFoundClosedIsReplaced)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        const auto request = peer.readMessage();
+        peer.send(okAnswer(request, "once"));
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    for (unsigned i = 1; i <= 4; ++i) {
+        BOOST_TEST(statusOf(fixture.call("GET", "/")) == "200");
+        BOOST_TEST(fixture.finished(i).back().attempts == 1u);
+        // The close must have arrived before the next request looks at the connection.
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    BOOST_TEST(target.connections() == 4u);
+}
+
+// Guards against bytes that arrive on an idle connection and are read as the next answer.
+BOOST_AUTO_TEST_CASE(bytesAfterAnAnswerDiscardTheConnection)
+{
+    RawTarget target([](RawConnection& peer, unsigned number) {
+        const auto request = peer.readMessage();
+        peer.send(okAnswer(request, std::to_string(number)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        peer.readAll();
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    BOOST_TEST(bodyOf(fixture.call("GET", "/")) == "0");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BOOST_TEST(bodyOf(fixture.call("GET", "/")) == "1");
+}
--- /dev/null
+++ b/tests/io/upload_test.cpp
@@ -0,0 +1,191 @@
+#define BOOST_TEST_MODULE Upload
+#include <boost/test/unit_test.hpp>
+
+#include "traffic_fixture.h"
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::test;
+
+namespace {
+
+std::string statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? answer.substr(9, 3) : "";
+}
+
+std::string putHead(const std::string& headers)
+{
+    return "PUT /up/plan HTTP/1.1\r\nHost: s\r\n" + headers + "\r\n";
+}
+
+} // namespace
+
+// Guards against an upload that is lost, cut or held whole in memory, with a stated length and in chunks.
+BOOST_AUTO_TEST_CASE(largeBodiesArriveWholeWithinTheMemoryBudget)
+{
+    constexpr std::size_t size = std::size_t { 20 } << 20;
+    std::string body(size, '\0');
+    for (std::size_t i = 0; i < size; ++i)
+        body[i] = static_cast<char>('a' + i % 23);
+    std::atomic<std::size_t> mostMemory { 0 };
+    ServerFixture fixture;
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        const auto head = peer.readThrough("\r\n\r\n");
+        std::string got;
+        if (!headerOf(head, "Content-Length").empty()) {
+            got = peer.readBytes(std::stoul(headerOf(head, "Content-Length")));
+        } else {
+            while (true) {
+                const auto n = std::stoul(peer.readThrough("\r\n"), nullptr, 16);
+                got += peer.readBytes(n);
+                peer.readThrough("\r\n");
+                if (n == 0)
+                    break;
+            }
+        }
+        mostMemory = std::max<std::size_t>(mostMemory, fixture.server->memoryUsed());
+        peer.send(okAnswer(head, got == body ? "whole" : "damaged"));
+    });
+    fixture.settings.memoryBudget = 1 << 20;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto stated = fixture.caller();
+    stated->send(putHead("Content-Length: " + std::to_string(size) + "\r\n") + body);
+    auto answer = stated->readMessage();
+    BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "whole");
+    const auto chunked = fixture.caller();
+    chunked->send(putHead("Transfer-Encoding: chunked\r\n") + "1400000\r\n" + body + "\r\n0\r\n\r\n");
+    answer = chunked->readMessage();
+    BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "whole");
+    const auto empty = fixture.call("PUT", "/up/empty");
+    BOOST_TEST(statusOf(empty) == "200");
+    BOOST_TEST(mostMemory > 0u);
+    BOOST_TEST(mostMemory <= std::size_t { 1 } << 20);
+}
+
+// Guards against a stalled upload that keeps its slot for ever.
+BOOST_AUTO_TEST_CASE(stalledUploadEndsAndFreesItsSlot)
+{
+    RawTarget target([](RawConnection& peer, unsigned number) {
+        const auto head = peer.readThrough("\r\n\r\n");
+        if (number == 0) {
+            peer.readAll();
+            return;
+        }
+        peer.readBytes(3);
+        peer.send(okAnswer(head, "ok"));
+    });
+    ServerFixture fixture;
+    fixture.times.stall = std::chrono::milliseconds(200);
+    fixture.addTarget(target.port(), 1);
+    fixture.start();
+    const auto stalled = fixture.caller();
+    stalled->send(putHead("Content-Length: 100\r\n") + "only some");
+    while (target.connections() == 0)
+        std::this_thread::yield();
+    const auto next = fixture.caller();
+    next->send(putHead("Content-Length: 3\r\n") + "abc");
+    BOOST_TEST(statusOf(next->readMessage()) == "200");
+    const auto finished = fixture.finished(2);
+    BOOST_TEST((finished.at(0).outcome == outcome::Outcome::Unknown));
+}
+
+// Guards against an upload that ends without an answer when the target refuses it before reading the body.
+BOOST_AUTO_TEST_CASE(earlyAnswerEndsTheUpload)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        const auto head = peer.readThrough("\r\n\r\n");
+        peer.send("HTTP/1.1 507 Full\r\nContent-Length: 4\r\n\r\nfull");
+        peer.readAll();
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto caller = fixture.caller();
+    caller->send(putHead("Content-Length: 1000\r\n") + "begin");
+    const auto answer = caller->readMessage();
+    BOOST_TEST(statusOf(answer) == "507");
+    BOOST_TEST(headerOf(answer, "Connection") == "close");
+}
+
+// Guards against a refused upload that is lost although its body was not read yet and another target is free.
+BOOST_AUTO_TEST_CASE(uploadRefusedBeforeItsBodyGoesToAnotherTarget)
+{
+    std::atomic<unsigned> refused { 0 };
+    const auto script = [&refused](RawConnection& peer, unsigned) {
+        const auto head = peer.readThrough("\r\n\r\n");
+        if (refused++ == 0) {
+            peer.send("HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        peer.send("HTTP/1.1 100 Continue\r\n\r\n");
+        peer.send(okAnswer(head, "took " + peer.readBytes(3)));
+    };
+    RawTarget a(script);
+    RawTarget b(script);
+    ServerFixture fixture;
+    fixture.addTarget(a.port());
+    fixture.addTarget(b.port());
+    fixture.start();
+    for (int i = 0; i < 12; ++i)
+        (void)fixture.call("GET", "/", "Buckthorncroft-Deadline-Ms: 20\r\n");
+    refused = 0;
+    const auto caller = fixture.caller();
+    caller->send(putHead("Content-Length: 3\r\nExpect: 100-continue\r\n"));
+    BOOST_TEST(caller->readThrough("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    caller->send("abc");
+    const auto answer = caller->readMessage();
+    BOOST_TEST(answer.substr(answer.find("\r\n\r\n") + 4) == "took abc");
+    BOOST_TEST(refused == 2u);
+}
+
+// Guards against a body that is cut by its caller and passed on as whole, and against one above the limit.
+BOOST_AUTO_TEST_CASE(brokenUploadsNeverLookWholeToTheTarget)
+{
+    std::atomic<unsigned> whole { 0 };
+    RawTarget target([&whole](RawConnection& peer, unsigned) {
+        peer.readThrough("\r\n\r\n");
+        const auto all = peer.readAll();
+        whole += all.size() >= 5 && all.substr(all.size() - 5) == "0\r\n\r\n";
+    });
+    ServerFixture fixture;
+    fixture.service.routes[2].maxBodyBytes = 10;
+    fixture.addTarget(target.port());
+    fixture.start();
+    for (const std::string body : { "3\r\nabc\r\nzz\r\n", "b\r\nabcdefghijk\r\n0\r\n\r\n", "3\r\nabc\r\n" }) {
+        const auto caller = fixture.caller();
+        caller->send(putHead("Transfer-Encoding: chunked\r\n") + body);
+        if (body.size() < 12)
+            caller->close();
+        else
+            BOOST_TEST(headerOf(caller->readMessage(), "Buckthorncroft-Outcome") == "unknown", body);
+    }
+    BOOST_TEST(fixture.finished(3).size() == 3u);
+    BOOST_TEST(whole == 0u);
+}
+
+// Guards against a slow caller for whose answer the instance holds ever more memory.
+BOOST_AUTO_TEST_CASE(slowCallerHoldsTheTargetBack)
+{
+    std::atomic<std::size_t> sent { 0 };
+    RawTarget target([&sent](RawConnection& peer, unsigned) {
+        const auto request = peer.readMessage();
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 104857600\r\n\r\n");
+        const std::string piece(1 << 20, 'x');
+        for (int i = 0; i < 100; ++i) {
+            peer.send(piece);
+            sent += piece.size();
+        }
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const auto caller = fixture.caller();
+    caller->send("GET / HTTP/1.1\r\nHost: s\r\n\r\n");
+    while (sent == 0)
+        std::this_thread::yield();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    // Kernel buffers take a few megabytes on each of the two connections.
+    BOOST_TEST(sent < std::size_t { 40 } << 20);
+    BOOST_TEST(fixture.server->memoryUsed() < std::size_t { 1 } << 20);
+}
