--- a/bench/health_fleet.h
+++ b/bench/health_fleet.h
@@ -77,7 +77,7 @@
 
     Detection detect(Fault fault, double limit)
     {
-        runFor(90s);
+        runFor(m_setup.rate > 100 ? 20s : 90s); // Until the latency models are filled.
         m_result = {};
         m_result.suspected.assign(m_entries.size(), limit);
         m_result.ejected.assign(m_entries.size(), limit);
@@ -163,6 +163,7 @@
     {
         const auto& views = m_entries[m_entries[n].full ? n : 0].views;
         std::vector<double> weights;
+        weights.reserve(views.size());
         for (const auto& it : views)
             weights.push_back(it.avoidLocally || it.draining ? 0 : it.weightFor[0]);
         const auto target = std::discrete_distribution<unsigned>(weights.begin(), weights.end())(m_random);
@@ -268,8 +269,9 @@
                 if (!m_entries[n].full)
                     return;
                 auto scores = pool.evaluate(m_now);
-                schedule(hop, [this, n, scores = std::move(scores)] {
-                    m_entries[n].health->mergePooled(scores, hop, m_now);
+                const auto age = std::chrono::duration_cast<Duration>(m_now - pool.evaluatedAt());
+                schedule(hop, [this, n, age, scores = std::move(scores)] {
+                    m_entries[n].health->mergePooled(scores, age + hop, m_now);
                     tick(n);
                 });
             });
--- a/include/buckthorncroft/health/evidence.h
+++ b/include/buckthorncroft/health/evidence.h
@@ -5,6 +5,7 @@
 #include <buckthorncroft/health/settings.h>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace buckthorncroft::health {
@@ -14,7 +15,11 @@
     std::string instance;
     std::string zone; ///< Availability zone.
     std::uint64_t incarnation = 0; ///< Random per process start.
-    auto operator<=>(const Reporter&) const = default;
+    bool operator==(const Reporter&) const = default;
+    bool operator<(const Reporter& other) const
+    {
+        return std::tie(incarnation, instance, zone) < std::tie(other.incarnation, other.instance, other.zone);
+    }
 };
 
 /// Number of attempts by result.
--- a/include/buckthorncroft/health/evidence_pool.h
+++ b/include/buckthorncroft/health/evidence_pool.h
@@ -29,8 +29,12 @@
     /// Windows that changed after `since`, for the pools of other zones: most suspicious first, at most `limit`.
     std::vector<EvidenceWindow> relay(base::SteadyTime since, base::SteadyTime now, std::size_t limit) const;
 
-    /// Drops old evidence and scores every target and kind that has evidence.
-    PooledScores evaluate(base::SteadyTime now);
+    /// Drops old evidence and scores every target and kind that has evidence. The result of an earlier call is
+    /// returned when it is younger than `Settings::evaluateInterval`.
+    const PooledScores& evaluate(base::SteadyTime now);
+
+    /// When the scores that `evaluate` returns were computed; the age of the scores when they are sent follows from it.
+    base::SteadyTime evaluatedAt() const { return m_evaluatedAt; }
 
     /// Targets that a reporter finds bad while others find them good, as the last `evaluate` saw it. SelfCheck compares
     /// them over services.
@@ -51,6 +55,7 @@
         std::map<CellKey, Cell> cells;
         detail::Cusum carried; ///< State after the windows that have aged out.
         base::SteadyTime carriedAt; ///< Time to which `carried` has decayed.
+        Counts counts; ///< Sum of the cells, from the last evaluation.
         std::set<ReporterIndex> excluded; ///< Reporters whose path to the target is at fault.
         double baseline = 0; ///< From the last evaluation.
     };
@@ -62,9 +67,9 @@
         std::optional<base::SteadyTime> firstBad; ///< Start of the first window with a bad observation.
     };
 
-    ReporterIndex indexOf(const Reporter& reporter);
+    ReporterIndex indexOf(const Reporter& reporter, base::SteadyTime now);
     bool used(const Series& series, ReporterIndex reporter) const;
-    void forgetReporters();
+    void forgetReporters(base::SteadyTime now);
     void dropOld(base::SteadyTime now);
     void findDeviating();
     void setBaselines(base::SteadyTime now);
@@ -80,7 +85,12 @@
     Reporter m_self;
     double m_ejectScore = 0;
     std::vector<std::string> m_targets;
-    std::map<ReporterIndex, Reporter> m_reporters;
+    struct Known {
+        Reporter reporter;
+        base::SteadyTime lastMerged; ///< No window of the reporter is younger.
+    };
+
+    std::map<ReporterIndex, Known> m_reporters;
     std::map<Reporter, ReporterIndex> m_reporterIndex;
     ReporterIndex m_nextReporter = 0;
     std::map<SeriesId, Series> m_series;
@@ -88,6 +98,8 @@
     std::set<ReporterIndex> m_ignoredHere; ///< Deviating for several targets of this service.
     std::map<Reporter, std::set<std::string>> m_deviating;
     std::uint64_t m_sequence = 0;
+    PooledScores m_scores; ///< Result of the last evaluation.
+    base::SteadyTime m_evaluatedAt;
 };
 
 /// Finds reporters that are themselves at fault: they find targets of several services bad which others find good.
--- a/include/buckthorncroft/health/service_health.h
+++ b/include/buckthorncroft/health/service_health.h
@@ -92,7 +92,10 @@
         std::size_t target = 0;
         config::RequestKind kind = config::RequestKind::Idempotent;
         std::uint64_t index = 0;
-        auto operator<=>(const OwnWindow&) const = default;
+        bool operator<(const OwnWindow& other) const
+        {
+            return std::tie(target, kind, index) < std::tie(other.target, other.kind, other.index);
+        }
     };
     struct OwnCounts {
         Counts counts;
@@ -102,6 +105,7 @@
 
     void count(std::size_t target, config::RequestKind kind, Verdict verdict, base::SteadyTime at);
     void noteTrial(detail::TargetState& state, config::RequestKind kind, Verdict verdict);
+    void dropOldWindows(base::SteadyTime now);
     void scoreOwn(base::SteadyTime now);
     void scorePooled(base::SteadyTime now);
     void judge(detail::TargetState& state, base::SteadyTime now) const;
--- a/include/buckthorncroft/health/settings.h
+++ b/include/buckthorncroft/health/settings.h
@@ -25,9 +25,9 @@
     Duration baselineShort { std::chrono::seconds(2) }; ///< The median is also taken over this time, for sudden peaks.
     double suspectScore = 6; ///< A kind of request becomes suspect at this score.
     double clearScore = 3; ///< A suspect kind is cleared below this score; lower, so that stages do not swing.
-    double ejectScoreFast = 12; ///< Ejection threshold at bias 1.
+    double ejectScoreFast = 11; ///< Ejection threshold at bias 1.
     double ejectScoreSure = 18; ///< Ejection threshold at bias 0.
-    double slowDeviations = 2.6; ///< Slow limit above the others' median, in standard deviations of log latency.
+    double slowDeviations = 2.4; ///< Slow limit above the others' median, in standard deviations of log latency.
     double slowMinFactor = 2; ///< Slow limit as a multiple of the others' median, at least.
     std::size_t latencySamples = 256; ///< Recent latencies per service and kind that the slow limit is taken from.
     std::size_t minLatencySamples = 30; ///< With fewer samples only the deadline decides what is slow.
@@ -39,10 +39,13 @@
     double pathBadShare = 0.4; ///< Bad share of a zone's or reporter's evidence that others may refute.
     double pathGoodShare = 0.05; ///< Largest bad share of the others that refutes it.
     unsigned deviatingBads = 3; ///< Bad observations that others refute, from which a reporter is deviating.
+    Duration evaluateInterval { std::chrono::milliseconds(50) }; ///< Scores of a pool are computed at most this often.
     std::size_t maxCells = 8192; ///< Windows kept for one target and kind; more are dropped, which bounds memory.
 
     // Stages.
-    double suspectWeight = 0.3; ///< Share of ordinary idempotent work that a suspect target keeps.
+    double suspectFirstWeight = 1; ///< Share of idempotent work at first, which is needed as evidence for a decision.
+    Duration suspectDecide { std::chrono::seconds(5) }; ///< Time after which most of it moves away undecided.
+    double suspectWeight = 0.2; ///< Share of idempotent work that a suspect target keeps after that.
     Duration suspectDwell { std::chrono::seconds(2) }; ///< Shortest stay in Suspect.
     Duration ejectBase { std::chrono::seconds(5) }; ///< First ejection; doubles with each repetition.
     Duration ejectMax { std::chrono::seconds(300) }; ///< Longest ejection.
--- a/src/health/evidence_pool.cpp
+++ b/src/health/evidence_pool.cpp
@@ -58,11 +58,12 @@
     m_ejectScore = ejectScore(m_settings, service.bias);
 }
 
-EvidencePool::ReporterIndex EvidencePool::indexOf(const Reporter& reporter)
+EvidencePool::ReporterIndex EvidencePool::indexOf(const Reporter& reporter, base::SteadyTime now)
 {
     const auto [it, isNew] = m_reporterIndex.emplace(reporter, m_nextReporter);
     if (isNew)
-        m_reporters.emplace(m_nextReporter++, reporter);
+        m_reporters.emplace(m_nextReporter++, Known { reporter, now });
+    m_reporters.at(it->second).lastMerged = now;
     return it->second;
 }
 
@@ -75,7 +76,7 @@
             continue;
         const SeriesId id { static_cast<std::size_t>(target - m_targets.begin()), it.kind };
         auto& series = m_series[id];
-        const CellKey key { indexOf(it.reporter), it.window };
+        const CellKey key { indexOf(it.reporter, now), it.window };
         const auto start = now - it.age;
         const auto found = series.cells.find(key);
         if (found == series.cells.end()) {
@@ -101,7 +102,7 @@
     for (const auto& [id, series] : m_series)
         for (const auto& [key, cell] : series.cells)
             if (cell.changed >= since && now - cell.start <= m_settings.maxAge)
-                result.push_back({ m_reporters.at(key.first), m_targets[id.first], id.second, key.second,
+                result.push_back({ m_reporters.at(key.first).reporter, m_targets[id.first], id.second, key.second,
                     std::chrono::duration_cast<Duration>(now - cell.start), cell.counts });
     std::stable_sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
         return a.counts.against() != b.counts.against() ? a.counts.against() > b.counts.against() : a.age < b.age;
@@ -111,30 +112,33 @@
     return result;
 }
 
-PooledScores EvidencePool::evaluate(base::SteadyTime now)
+const PooledScores& EvidencePool::evaluate(base::SteadyTime now)
 {
+    if (m_sequence && now - m_evaluatedAt < m_settings.evaluateInterval)
+        return m_scores;
+    m_evaluatedAt = now;
     dropOld(now);
     findDeviating();
     setBaselines(now);
-    PooledScores result;
-    result.coordinator = m_self;
-    result.sequence = ++m_sequence;
+    m_scores = {};
+    m_scores.coordinator = m_self;
+    m_scores.sequence = ++m_sequence;
     for (auto& [id, series] : m_series) {
         excludeReporters(series);
-        result.scores.push_back(score(id, series));
+        m_scores.scores.push_back(score(id, series));
     }
-    std::stable_sort(result.scores.begin(), result.scores.end(),
+    std::stable_sort(m_scores.scores.begin(), m_scores.scores.end(),
         [](const auto& a, const auto& b) { return std::max(a.score, a.pathScore) > std::max(b.score, b.pathScore); });
-    for (const auto& [index, reporter] : m_reporters)
-        if (m_ignoredHere.contains(index) || m_ignored.contains(reporter))
-            result.ignored.push_back(reporter);
-    return result;
+    for (const auto& [index, known] : m_reporters)
+        if (m_ignoredHere.contains(index) || m_ignored.contains(known.reporter))
+            m_scores.ignored.push_back(known.reporter);
+    return m_scores;
 }
 
 bool EvidencePool::used(const Series& series, ReporterIndex reporter) const
 {
     return !series.excluded.contains(reporter) && !m_ignoredHere.contains(reporter)
-        && (m_ignored.empty() || !m_ignored.contains(m_reporters.at(reporter)));
+        && (m_ignored.empty() || !m_ignored.contains(m_reporters.at(reporter).reporter));
 }
 
 void EvidencePool::dropOld(base::SteadyTime now)
@@ -154,17 +158,21 @@
     }
     std::erase_if(
         m_series, [](const auto& it) { return it.second.cells.empty() && it.second.carried.score() < negligible; });
-    forgetReporters();
+    for (auto& [id, series] : m_series) {
+        series.counts = {};
+        for (const auto& [key, cell] : series.cells)
+            addTo(series.counts, cell.counts);
+    }
+    forgetReporters(now);
 }
 
-void EvidencePool::forgetReporters()
+void EvidencePool::forgetReporters(base::SteadyTime now)
 {
-    std::set<ReporterIndex> present;
-    for (const auto& [id, series] : m_series)
-        for (const auto& [key, cell] : series.cells)
-            present.insert(key.first);
-    std::erase_if(m_reporters, [&](const auto& it) { return !present.contains(it.first); });
-    std::erase_if(m_reporterIndex, [&](const auto& it) { return !present.contains(it.second); });
+    std::erase_if(m_reporterIndex, [&](const auto& it) {
+        return now - m_reporters.at(it.second).lastMerged > m_settings.maxAge + m_settings.window;
+    });
+    std::erase_if(m_reporters,
+        [&](const auto& it) { return now - it.second.lastMerged > m_settings.maxAge + m_settings.window; });
 }
 
 double EvidencePool::cap() const
@@ -215,8 +223,10 @@
 detail::Cusum EvidencePool::accumulate(
     detail::Cusum start, std::vector<std::pair<ReporterIndex, const Cell*>> cells, double baseline, double cap) const
 {
-    std::sort(cells.begin(), cells.end(), [](const auto& a, const auto& b) {
-        return a.second->start != b.second->start ? a.second->start < b.second->start : a.first < b.first;
+    // Reporter indexes depend on the order of arrival, so ties are broken by identity: all pools must agree.
+    std::sort(cells.begin(), cells.end(), [this](const auto& a, const auto& b) {
+        return a.second->start != b.second->start ? a.second->start < b.second->start
+                                                  : m_reporters.at(a.first).reporter < m_reporters.at(b.first).reporter;
     });
     const double expected = std::max(baseline, m_settings.minBaseline);
     const auto partly = detail::ratios(m_settings.badShare, expected);
@@ -224,6 +234,11 @@
     std::map<ReporterIndex, std::pair<double, double>> given;
     auto sum = start;
     for (const auto& [reporter, cell] : cells) {
+        if (!cell->counts.against()) {
+            sum.partly = std::max(0.0, sum.partly + cell->counts.good * partly.good);
+            sum.hard = std::max(0.0, sum.hard + cell->counts.good * hard.good);
+            continue;
+        }
         auto& [givenPartly, givenHard] = given[reporter];
         const double addPartly = std::min(cell->counts.against() * partly.bad, cap - givenPartly);
         const double addHard = std::min(cell->counts.against() * hard.bad, cap - givenHard);
@@ -250,7 +265,7 @@
             cells.emplace_back(key.first, &cell);
             reporters.insert(key.first);
             addTo(result.counts, cell.counts);
-        } else if (m_reporters.at(key.first).zone == result.pathZone)
+        } else if (m_reporters.at(key.first).reporter.zone == result.pathZone)
             path.emplace_back(key.first, &cell);
     }
     result.reporters = static_cast<unsigned>(reporters.size());
--- a/src/health/reporter_checks.cpp
+++ b/src/health/reporter_checks.cpp
@@ -36,7 +36,11 @@
 
 void EvidencePool::excludeReporters(Series& series) const
 {
+    // A single bad observation of one reporter is noise that the baseline covers.
+    constexpr std::uint32_t minBads = 2;
     series.excluded.clear();
+    if (series.counts.against() < minBads)
+        return;
     std::map<ReporterIndex, Group> groups;
     for (const auto& [key, cell] : series.cells) {
         auto& group = groups[key.first];
@@ -44,8 +48,6 @@
         if (cell.counts.against() && (!group.firstBad || cell.start < *group.firstBad))
             group.firstBad = cell.start;
     }
-    // A single bad observation of one reporter is noise that the baseline covers.
-    constexpr std::uint32_t minBads = 2;
     std::set<ReporterIndex> excluded;
     for (const auto& [reporter, group] : groups)
         if (group.counts.against() >= minBads && refuted(series, group, { reporter }))
@@ -55,10 +57,12 @@
 
 std::string EvidencePool::excludeZone(Series& series) const
 {
+    if (series.counts.against() < m_settings.deviatingBads)
+        return {};
     std::map<std::string, Group> groups;
     std::map<std::string, std::set<ReporterIndex>> members;
     for (const auto& [key, cell] : series.cells) {
-        const auto& zone = m_reporters.at(key.first).zone;
+        const auto& zone = m_reporters.at(key.first).reporter.zone;
         members[zone].insert(key.first);
         auto& group = groups[zone];
         addTo(group.counts, cell.counts);
@@ -83,12 +87,12 @@
     };
     std::map<ReporterIndex, Refuted> found;
     for (const auto& [id, series] : m_series) {
+        if (!series.counts.against())
+            continue;
+        const Counts& all = series.counts;
         std::map<ReporterIndex, Counts> sums;
-        Counts all;
-        for (const auto& [key, cell] : series.cells) {
+        for (const auto& [key, cell] : series.cells)
             addTo(sums[key.first], cell.counts);
-            addTo(all, cell.counts);
-        }
         for (const auto& [reporter, counts] : sums) {
             const auto others = all.total() - counts.total();
             const auto othersBad = all.against() - counts.against();
@@ -109,7 +113,7 @@
         // One target alone is a matter of the path to it, which is handled per target.
         if (it.targets.size() > 1)
             m_ignoredHere.insert(reporter);
-        m_deviating.emplace(m_reporters.at(reporter), std::move(it.targets));
+        m_deviating.emplace(m_reporters.at(reporter).reporter, std::move(it.targets));
     }
 }
 
--- a/src/health/service_health.cpp
+++ b/src/health/service_health.cpp
@@ -150,6 +150,7 @@
 
 std::vector<EvidenceWindow> ServiceHealth::takeReport(base::SteadyTime now, std::size_t limit)
 {
+    dropOldWindows(now);
     std::vector<std::map<OwnWindow, OwnCounts>::iterator> chosen;
     for (auto it = m_windows.begin(); it != m_windows.end(); ++it)
         if (it->second.unreported)
@@ -168,13 +169,18 @@
         it->second.unreported = false;
         // A clock reading just before the window's start would otherwise give a negative age.
         const auto age = std::max(Duration(0), std::chrono::duration_cast<Duration>(now - start));
-        if (age <= m_settings.maxAge)
-            result.push_back(
-                { m_self, m_targets[it->first.target].id, it->first.kind, it->first.index, age, it->second.counts });
+        result.push_back(
+            { m_self, m_targets[it->first.target].id, it->first.kind, it->first.index, age, it->second.counts });
     }
     return result;
 }
 
+void ServiceHealth::dropOldWindows(base::SteadyTime now)
+{
+    std::erase_if(m_windows,
+        [&](const auto& it) { return now - (m_start + m_settings.window * it.first.index) > m_settings.maxAge; });
+}
+
 void ServiceHealth::scoreOwn(base::SteadyTime now)
 {
     std::vector<EvidenceWindow> windows;
@@ -187,8 +193,7 @@
             std::max(Duration(0), std::chrono::duration_cast<Duration>(age)), window.counts });
     }
     m_own.merge(windows, now);
-    std::erase_if(m_windows,
-        [&](const auto& it) { return now - (m_start + m_settings.window * it.first.index) > m_settings.maxAge; });
+    dropOldWindows(now);
     std::map<std::pair<std::string, config::RequestKind>, double> scores;
     for (const auto& it : m_own.evaluate(now).scores)
         scores[{ it.target, it.kind }] = it.score;
--- a/src/health/stages.cpp
+++ b/src/health/stages.cpp
@@ -223,6 +223,7 @@
         state.suspect[kind] = false;
     }
     state.heldBack = false;
+    state.wanted = false; // It was judged by scores from before the reset.
     state.until = now + length;
     change(target, Stage::RampUp, reason, now, changes);
 }
@@ -384,7 +385,9 @@
         return m_settings.rampFirstWeight + (1 - m_settings.rampFirstWeight) * part;
     }
     case Stage::Suspect:
-        return state.suspect[idempotent] || state.heldBack ? m_settings.suspectWeight : 1;
+        if (!state.suspect[idempotent] && !state.heldBack)
+            return 1;
+        return now - state.since < m_settings.suspectDecide ? m_settings.suspectFirstWeight : m_settings.suspectWeight;
     case Stage::Healthy:
         break;
     }
