Split the platform stand-in's main into short functions

Cause: option parsing and start were one long function. Change: settings aggregate, describeOptions and serve(settings).

--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -9,6 +9,7 @@
 #include <cxxtools/http/service.h>
 #include <cxxtools/regex.h>
 #include <fmt/core.h>
+#include <iostream>
 #include <thread>
 
 // Imitates the platform's service for tests and scenarios. Serves loopback only and keeps everything in memory.
@@ -60,24 +61,52 @@
     platform::MemoryPlatform& m_model;
 };
 
+struct Settings {
+    std::string host;
+    unsigned short port = 0;
+    unsigned threads = 0; ///< Calls that run at the same time.
+    unsigned listLagMs = 0;
+    unsigned heartbeatExpiryMs = 0;
+    platform::PlatformLimits limits;
+};
+
+boost::program_options::options_description describeOptions(Settings& settings)
+{
+    namespace po = boost::program_options;
+    po::options_description options("standin-platform");
+    auto add = options.add_options();
+    add("help", "print this help");
+    add("host", po::value(&settings.host)->default_value("127.0.0.1"), "loopback address to listen on");
+    add("port", po::value(&settings.port)->default_value(7600), "port");
+    add("threads", po::value(&settings.threads)->default_value(100), "calls that run at the same time");
+    add("writes-per-second", po::value(&settings.limits.writesPerSecond)->default_value(500),
+        "writes above this rate are refused; 0: no bound");
+    add("reads-per-second", po::value(&settings.limits.readsPerSecond)->default_value(2000),
+        "reads above this rate are refused; 0: no bound");
+    add("list-lag-ms", po::value(&settings.listLagMs)->default_value(2000), "delay of changes of the instance list");
+    add("heartbeat-expiry-ms", po::value(&settings.heartbeatExpiryMs)->default_value(10000),
+        "silence after which an instance leaves the list");
+    return options;
+}
+
 cxxtools::EventLoop* runningLoop = nullptr;
 
-int serve(const std::string& host, unsigned short port, unsigned threads, const platform::PlatformLimits& limits)
+int serve(const Settings& settings)
 {
     const base::SystemClock clock;
-    platform::MemoryPlatform model(clock, limits);
+    platform::MemoryPlatform model(clock, settings.limits);
     cxxtools::EventLoop loop;
-    cxxtools::http::Server server(loop, host, port);
+    cxxtools::http::Server server(loop, settings.host, settings.port);
     // A slow call holds its thread, so there must be more threads than calls in flight.
     server.minThreads(4);
-    server.maxThreads(threads);
+    server.maxThreads(settings.threads);
     PlatformService service(model);
     server.addService(cxxtools::Regex("^/"), service);
     runningLoop = &loop;
     const auto stop = [](int) { runningLoop->exit(); };
     std::signal(SIGTERM, stop);
     std::signal(SIGINT, stop);
-    fmt::print(stderr, "level=info event=listening address={}:{}\n", host, port);
+    fmt::print(stderr, "level=info event=listening address={}:{}\n", settings.host, settings.port);
     loop.run();
     return 0;
 }
@@ -87,36 +116,23 @@
 int main(int argc, char** argv)
 {
     namespace po = boost::program_options;
-    std::string host;
-    unsigned short port = 0;
-    unsigned threads = 0;
-    platform::PlatformLimits limits;
-    unsigned lag = 0;
-    unsigned expiry = 0;
-    po::options_description options("standin-platform");
-    options.add_options()("help", "print this help")("host", po::value(&host)->default_value("127.0.0.1"),
-        "loopback address to listen on")("port", po::value(&port)->default_value(7600), "port")(
-        "threads", po::value(&threads)->default_value(100), "calls that run at the same time")("writes-per-second",
-        po::value(&limits.writesPerSecond)->default_value(500), "writes above this rate are refused; 0: no bound")(
-        "reads-per-second", po::value(&limits.readsPerSecond)->default_value(2000),
-        "reads above this rate are refused; 0: no bound")("list-lag-ms", po::value(&lag)->default_value(2000),
-        "delay of changes of the instance list")("heartbeat-expiry-ms", po::value(&expiry)->default_value(10000),
-        "silence after which an instance leaves the list");
+    Settings settings;
+    const auto options = describeOptions(settings);
     try {
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, options), values);
         po::notify(values);
         if (values.count("help")) {
-            std::fputs(fmt::format("{}", (std::ostringstream() << options).str()).c_str(), stdout);
+            std::cout << options;
             return 0;
         }
-        if (!host.starts_with("127.")) {
+        if (!settings.host.starts_with("127.")) {
             fmt::print(stderr, "--host must be a loopback address\n");
             return 2;
         }
-        limits.listLag = std::chrono::milliseconds(lag);
-        limits.heartbeatExpiry = std::chrono::milliseconds(expiry);
-        return serve(host, port, threads, limits);
+        settings.limits.listLag = std::chrono::milliseconds(settings.listLagMs);
+        settings.limits.heartbeatExpiry = std::chrono::milliseconds(settings.heartbeatExpiryMs);
+        return serve(settings);
     } catch (const po::error& e) {
         fmt::print(stderr, "{}\n", e.what());
         return 2;
