Poll a completion queue of the client's own in the inner protocol

Cause: wire_test aborted in 4 of 18 runs in onlyCertificatesOfTheFleetAreAccepted with gRPC's "assertion failed: prior > 0". The trace shows gRPC 1.51's callback thread: when a call's closure released the last channel on that thread, the thread released its own queue. The certificate code and the server are ruled out by the trace. Change: asynchronous calls on a completion queue and one thread of the client; its destructor cancels, drains and joins. Conclusion: the callback interface of gRPC 1.51 is not safe for short-lived channels.

--- a/include/buckthorncroft/wire/inner_client.h
+++ b/include/buckthorncroft/wire/inner_client.h
@@ -10,15 +10,15 @@
 
 namespace buckthorncroft::wire {
 
-/// Sends messages to other instances. Calls return at once; `done` is called exactly once, from a thread of the client.
-/// Safe for concurrent use.
+/// Sends messages to other instances. Calls return at once; `done` is called exactly once, from the client's thread or,
+/// when the call is refused at once, from the caller's. Safe for concurrent use.
 ///
 /// Errors: `Unavailable`, `Timeout`, `Malformed` (the answer breaks a bound), `LimitExceeded` (too many calls run).
 class InnerClient {
 public:
     explicit InnerClient(const TlsMaterial& tls);
 
-    /// Cancels the calls that run and waits for their `done`.
+    /// Cancels the calls that run and waits for their `done`. Must not be called from a `done`.
     ~InnerClient();
     InnerClient(const InnerClient&) = delete;
     InnerClient& operator=(const InnerClient&) = delete;
--- a/src/wire/inner_client.cpp
+++ b/src/wire/inner_client.cpp
@@ -3,11 +3,12 @@
 #include "convert.h"
 #include "credentials.h"
 #include <buckthorncroft/wire/exchange.grpc.pb.h>
-#include <condition_variable>
+#include <grpcpp/completion_queue.h>
 #include <grpcpp/create_channel.h>
 #include <map>
 #include <mutex>
 #include <set>
+#include <thread>
 
 namespace buckthorncroft::wire {
 
@@ -26,32 +27,80 @@
 
 } // namespace
 
+// The client polls a completion queue of its own. The library's callback interface aborted in 1.51 when the last
+// channel was released on the library's callback thread (wire_test, a refused handshake: "assertion failed: prior >
+// 0").
 struct InnerClient::State {
     using Stub = proto::InnerProtocol::Stub;
 
-    // Counts the calls that run, so that the destructor can cancel them and wait.
-    // Recursive, because cancelling a call may run its callback in the same thread.
-    struct Calls {
-        std::recursive_mutex mutex;
-        std::condition_variable_any finished;
-        std::set<grpc::ClientContext*> running;
-    };
+    /// One running call; its address is the tag in the completion queue.
+    class Call {
+    public:
+        Call() = default;
+        Call(const Call&) = delete;
+        Call& operator=(const Call&) = delete;
+        virtual ~Call() = default;
+        virtual void finish() = 0;
 
-    template <typename Request, typename Reply> struct Call {
         grpc::ClientContext context;
-        Request request;
-        Reply reply;
+        grpc::Status status;
         std::shared_ptr<Stub> stub;
     };
 
-    std::shared_ptr<grpc::ChannelCredentials> credentials;
-    std::mutex mutex;
-    std::map<std::string, std::shared_ptr<Stub>> stubs;
-    Calls calls;
+    template <typename Reply, typename Finish> class TypedCall final : public Call {
+    public:
+        explicit TypedCall(Finish finished)
+            : m_finish(std::move(finished))
+        {
+        }
+
+        void finish() override { m_finish(status, reply); }
+
+        Reply reply;
+        std::unique_ptr<grpc::ClientAsyncResponseReader<Reply>> reader;
+
+    private:
+        Finish m_finish;
+    };
+
+    explicit State(std::shared_ptr<grpc::ChannelCredentials> channelCredentials)
+        : credentials(std::move(channelCredentials))
+        , poller([this] { poll(); })
+    {
+    }
+
+    ~State()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            stopping = true;
+            for (const auto& [tag, call] : running)
+                call->context.TryCancel();
+        }
+        queue.Shutdown();
+        poller.join();
+    }
+    State(const State&) = delete;
+    State& operator=(const State&) = delete;
+
+    void poll()
+    {
+        void* tag = nullptr;
+        bool ok = false;
+        while (queue.Next(&tag, &ok)) {
+            std::unique_ptr<Call> call;
+            {
+                const std::lock_guard lock(mutex);
+                const auto it = running.find(tag);
+                call = std::move(it->second);
+                running.erase(it);
+            }
+            call->finish();
+        }
+    }
 
     std::shared_ptr<Stub> stub(const std::string& address)
     {
-        const std::lock_guard lock(mutex);
         auto& result = stubs[address];
         if (!result) {
             grpc::ChannelArguments arguments;
@@ -62,60 +111,51 @@
         return result;
     }
 
-    // Runs one call. `start` hands the call to gRPC; `finish` gets the status and the reply.
-    template <typename Request, typename Reply, typename Start, typename Finish>
-    void run(const std::string& address, Request request, std::chrono::milliseconds timeout, Start start, Finish finish)
+    // Runs one call. `start` hands the request to gRPC; `finish` gets the status and the reply.
+    template <typename Reply, typename Start, typename Finish>
+    void run(const std::string& address, std::chrono::milliseconds timeout, Start start, Finish finish)
     {
-        auto call = std::make_shared<Call<Request, Reply>>();
-        call->request = std::move(request);
+        auto call = std::make_unique<TypedCall<Reply, Finish>>(std::move(finish));
         call->context.set_deadline(std::chrono::system_clock::now() + timeout);
-        if (!credentials) {
-            finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "the certificate files cannot be read"), call->reply);
-            return;
-        }
         {
-            const std::lock_guard lock(calls.mutex);
-            if (calls.running.size() >= maxCalls) {
-                finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "too many calls are running"), call->reply);
+            const std::lock_guard lock(mutex);
+            if (credentials && !stopping && running.size() < maxCalls) {
+                call->stub = stub(address);
+                call->reader = start(*call->stub, &call->context, &queue);
+                auto* tag = call.get();
+                call->reader->Finish(&call->reply, &call->status, tag);
+                running.emplace(tag, std::move(call));
                 return;
             }
-            calls.running.insert(&call->context);
         }
-        call->stub = stub(address);
-        start(*call, [this, call, finish](const grpc::Status& status) {
-            finish(status, call->reply);
-            const std::lock_guard lock(calls.mutex);
-            calls.running.erase(&call->context);
-            calls.finished.notify_all();
-        });
+        call->status = { grpc::StatusCode::UNAVAILABLE,
+            credentials ? "too many calls are running" : "the certificate files cannot be read" };
+        call->finish();
     }
+
+    std::shared_ptr<grpc::ChannelCredentials> credentials;
+    std::mutex mutex;
+    std::map<std::string, std::shared_ptr<Stub>> stubs;
+    std::map<void*, std::unique_ptr<Call>> running;
+    bool stopping = false;
+    grpc::CompletionQueue queue;
+    std::thread poller;
 };
 
 InnerClient::InnerClient(const TlsMaterial& tls)
-    : m_state(std::make_unique<State>())
+    : m_state(std::make_unique<State>(detail::channelCredentials(tls)))
 {
-    m_state->credentials = detail::channelCredentials(tls);
 }
 
-InnerClient::~InnerClient()
-{
-    std::unique_lock lock(m_state->calls.mutex);
-    const auto running = m_state->calls.running;
-    for (auto* it : running) {
-        if (m_state->calls.running.count(it))
-            it->TryCancel();
-    }
-    m_state->calls.finished.wait(lock, [&] { return m_state->calls.running.empty(); });
-}
+InnerClient::~InnerClient() = default;
 
 void InnerClient::exchange(const std::string& address, const Report& report, std::chrono::milliseconds timeout,
     std::function<void(base::Result<Report>)> done)
 {
-    m_state->run<proto::Report, proto::Report>(
-        address, detail::toProto(report), timeout,
-        [](auto& call, auto finished) {
-            call.stub->async()->Exchange(&call.context, &call.request, &call.reply, std::move(finished));
-        },
+    const auto request = detail::toProto(report);
+    m_state->run<proto::Report>(
+        address, timeout,
+        [&](auto& stub, auto* context, auto* queue) { return stub.AsyncExchange(context, request, queue); },
         [done = std::move(done)](const grpc::Status& status, const proto::Report& reply) {
             if (!status.ok())
                 done(toError(status));
@@ -129,11 +169,9 @@
 {
     proto::FetchRequest request;
     request.set_newer_than(newerThan);
-    m_state->run<proto::FetchRequest, proto::FetchReply>(
-        address, std::move(request), timeout,
-        [](auto& call, auto finished) {
-            call.stub->async()->FetchConfiguration(&call.context, &call.request, &call.reply, std::move(finished));
-        },
+    m_state->run<proto::FetchReply>(
+        address, timeout,
+        [&](auto& stub, auto* context, auto* queue) { return stub.AsyncFetchConfiguration(context, request, queue); },
         [done = std::move(done)](const grpc::Status& status, const proto::FetchReply& reply) {
             if (!status.ok())
                 done(toError(status));
@@ -145,11 +183,10 @@
 void InnerClient::place(const std::string& address, const PlaceRequest& request, std::chrono::milliseconds timeout,
     std::function<void(base::Result<PlaceReply>)> done)
 {
-    m_state->run<proto::PlaceRequest, proto::PlaceReply>(
-        address, detail::toProto(request), timeout,
-        [](auto& call, auto finished) {
-            call.stub->async()->Place(&call.context, &call.request, &call.reply, std::move(finished));
-        },
+    const auto message = detail::toProto(request);
+    m_state->run<proto::PlaceReply>(
+        address, timeout,
+        [&](auto& stub, auto* context, auto* queue) { return stub.AsyncPlace(context, message, queue); },
         [done = std::move(done)](const grpc::Status& status, const proto::PlaceReply& reply) {
             if (!status.ok())
                 done(toError(status));
@@ -166,11 +203,9 @@
     for (const auto it : grants)
         request.add_grants(it);
     // A lost release needs no answer: the grant expires.
-    m_state->run<proto::ReleaseRequest, proto::ReleaseReply>(
-        address, std::move(request), timeout,
-        [](auto& call, auto finished) {
-            call.stub->async()->Release(&call.context, &call.request, &call.reply, std::move(finished));
-        },
+    m_state->run<proto::ReleaseReply>(
+        address, timeout,
+        [&](auto& stub, auto* context, auto* queue) { return stub.AsyncRelease(context, request, queue); },
         [](const grpc::Status&, const proto::ReleaseReply&) {});
 }
 
