Raise the baseline by the pooled share of the other targets

Cause: at 4 requests/s over 7 targets the median of single targets' shares is too coarse to see a load peak; false ejections at bias 0.1 were too frequent. Change: the baseline also uses the sum over the other targets without the worst quarter. The bench fills the latency models first and lets every pool drop old windows.

--- a/bench/health_fleet.h
+++ b/bench/health_fleet.h
@@ -77,7 +77,10 @@
 
     Detection detect(Fault fault, double limit)
     {
-        runFor(m_setup.rate > 100 ? 20s : 90s); // Until the latency models are filled.
+        // Until each entry's latency model has enough samples.
+        constexpr double samples = 50;
+        const double warmUp = std::max(20.0, samples * m_setup.entries / m_setup.rate);
+        runFor(Duration(static_cast<long>(warmUp * 1e6)));
         m_result = {};
         m_result.suspected.assign(m_entries.size(), limit);
         m_result.ejected.assign(m_entries.size(), limit);
@@ -282,6 +285,9 @@
     void relay(unsigned n)
     {
         schedule(100ms, [this, n] { relay(n); });
+        // A coordinator whose entries are not modelled must drop old windows, too.
+        if (m_now - m_pools[n].evaluatedAt() > 1s)
+            m_pools[n].evaluate(m_now);
         const auto windows = m_pools[n].relay(m_now - 200ms, m_now, 200);
         for (unsigned it = 0; it < zones; ++it)
             if (it != n && !windows.empty())
--- a/src/health/evidence_pool.cpp
+++ b/src/health/evidence_pool.cpp
@@ -201,22 +201,28 @@
                 addTo(shares.recent, cell.counts);
         }
     }
-    const auto medianOfOthers = [&](const SeriesId& id, Counts Shares::*counts) {
-        std::vector<double> values;
+    const auto shareOfOthers = [&](const SeriesId& id, Counts Shares::*counts) {
+        std::vector<Counts> others;
         for (const auto& [target, shares] : byKind[id.second])
             if (target != id.first && (shares.*counts).total())
-                values.push_back(badShareOf(shares.*counts));
+                others.push_back(shares.*counts);
         // A median of fewer values would be decided by a single other target.
         constexpr std::size_t minOthers = 3;
-        if (values.size() < minOthers)
+        if (others.size() < minOthers)
             return 0.0;
-        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-        std::nth_element(values.begin(), middle, values.end());
-        return *middle;
+        std::sort(
+            others.begin(), others.end(), [](const auto& x, const auto& y) { return badShareOf(x) < badShareOf(y); });
+        const double median = badShareOf(others[others.size() / 2]);
+        // At low rates the share of one target is coarse; the sum without the worst quarter sees a load peak earlier.
+        others.resize(others.size() - (others.size() + 3) / 4);
+        Counts sum;
+        for (const auto& it : others)
+            addTo(sum, it);
+        return std::max(median, badShareOf(sum));
     };
     for (auto& [id, series] : m_series) {
-        const double median = std::max(medianOfOthers(id, &Shares::all), medianOfOthers(id, &Shares::recent));
-        series.baseline = std::clamp(m_settings.baselineMargin * median, m_settings.minBaseline, 0.99);
+        const double share = std::max(shareOfOthers(id, &Shares::all), shareOfOthers(id, &Shares::recent));
+        series.baseline = std::clamp(m_settings.baselineMargin * share, m_settings.minBaseline, 0.99);
     }
 }
 
