Count running and abandoned attempts as evidence of a hanging target

Cause: a hanging target gave no evidence before the deadline, and none at all when a hedge won, because the abandoned attempt counts as cancelled. Change: pending reports of the traffic threads and abandoned attempts go to attemptPending, each attempt counted once.

--- a/include/buckthorncroft/daemon/control_state.h
+++ b/include/buckthorncroft/daemon/control_state.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace buckthorncroft::daemon {
@@ -130,6 +131,7 @@
     struct ServiceState;
 
     ServiceState* find(const std::string& service);
+    void observeOne(ServiceState& state, const ReportedObservation& reported, health::Observation observation);
     void setDraining(
         const membership::TargetName& name, bool draining, health::DrainSource source, base::SteadyTime now);
     void endDrains(base::SteadyTime now);
@@ -161,6 +163,7 @@
     std::map<std::string, std::unique_ptr<ServiceState>> m_services;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_lastSequence; ///< Incarnation and sequence.
     std::map<std::string, std::pair<std::uint64_t, std::string>> m_peerChanges; ///< Change number and address.
+    std::unordered_set<std::uint64_t> m_countedPending; ///< Running attempts that count as slow already.
     std::vector<ServiceStageChange> m_stageChanges;
     std::uint64_t m_sequence = 0;
     base::SteadyTime m_lastExchange;
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -21,6 +21,7 @@
     // The set is repeated for this long after it became empty, so that a lost message does not keep a peer's view old.
     constexpr std::chrono::seconds ejectedRepeat { 5 };
     constexpr std::size_t maxKnownSenders = 10'000;
+    constexpr std::size_t maxCountedPending = 100'000; // Attempts in flight on one instance are far fewer.
     constexpr double burstSeconds = 1;
     constexpr double transportBytesPerMessage
         = 120; // Frame, header and packet overhead, so that the budget holds on the wire.
@@ -143,13 +144,32 @@
             if (observation.target >= state->service->targets.size())
                 continue;
         }
-        if (observation.verdict == health::Verdict::Draining) {
-            const membership::TargetName name { it.service->name, state->service->targets[observation.target].id };
-            m_drains.announced(name, observation.at);
-            setDraining(name, true, health::DrainSource::TargetAnswer, observation.at);
-        }
-        state->health.observe(observation);
+        observeOne(*state, it, observation);
+    }
+}
+
+// A hanging target shows by attempts that are still running, and by attempts that were abandoned because a hedge won;
+// waiting for their deadline would keep the target in for seconds longer.
+void ControlState::observeOne(ServiceState& state, const ReportedObservation& reported, health::Observation observation)
+{
+    auto& health = state.health;
+    const auto counts = [&] {
+        return health.attemptPending(observation.target, observation.kind, observation.latency, observation.at);
+    };
+    if (reported.pending) {
+        if (m_countedPending.size() < maxCountedPending && !m_countedPending.count(reported.attempt) && counts())
+            m_countedPending.insert(reported.attempt);
+        return;
+    }
+    observation.countedPending = m_countedPending.erase(reported.attempt) > 0;
+    if (observation.verdict == health::Verdict::Cancelled && !observation.countedPending)
+        counts();
+    if (observation.verdict == health::Verdict::Draining) {
+        const membership::TargetName name { state.service->name, state.service->targets[observation.target].id };
+        m_drains.announced(name, observation.at);
+        setDraining(name, true, health::DrainSource::TargetAnswer, observation.at);
     }
+    health.observe(observation);
 }
 
 void ControlState::listed(const std::vector<membership::Peer>& entries, base::SteadyTime now)
--- a/tests/io/control_state_test.cpp
+++ b/tests/io/control_state_test.cpp
@@ -146,6 +146,27 @@
     }
 }
 
+// Guards against a hanging target that stays in until the deadline of its requests: running attempts are evidence once,
+// and attempts that lost against a hedge are evidence too.
+BOOST_FIXTURE_TEST_CASE(hangingTargetIsFoundBeforeItsDeadline, Fleet)
+{
+    run(12s, [&] { observeAll(health::Verdict::Good, 5); });
+    std::uint64_t attempt = 0;
+    run(2500ms, [&] {
+        observeAll(health::Verdict::Good, 5);
+        for (auto& it : nodes) {
+            const auto service = it.state->snapshot(clock.now())->find("bookdesk")->service;
+            const health::Observation hanging { 3, config::RequestKind::Idempotent, health::Verdict::Cancelled, 1500ms,
+                5000ms, clock.now() };
+            it.state->observe({ { service, hanging, ++attempt, true }, { service, hanging, attempt, true } });
+        }
+    });
+    for (auto& it : nodes) {
+        const auto& hanging = view(it, 3);
+        BOOST_TEST((hanging.stage == health::Stage::Ejected || hanging.stage == health::Stage::Trial), it.name);
+    }
+}
+
 // Guards against repeated messages that count the same evidence twice.
 // Without a byte budget, because answers to repeated messages use it up and would delay other evidence.
 BOOST_AUTO_TEST_CASE(repeatedReportsChangeNothing)
