Add the placement point and the policy that decides when to ask it

Cause: above 70 % of a service's slots in use, choices by own in-flight counts queue requests at busy targets. Change: placement point of one service and zone (grants with expiry and release, reconfiguration, health views, use reported by the points of other zones) and the policy of the asking instance (hysteresis 70 % / 60 %, pause after three unanswered requests). Routers use the weight per request kind of the health package. Latencies are not measured yet.

--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -9,7 +9,7 @@
 
     // Trial requests take at most this share of the first attempts of idempotent requests, over all targets on trial.
     // Each needs a second attempt from the retry budget (10 %), of which most must stay available for retries.
-    constexpr double trialShare = 0.04;
+    constexpr double trialShare = 0.05;
 
     bool hasRoom(const config::Target& target, const TargetLoad& load)
     {
@@ -109,17 +109,22 @@
     return onTrial[std::uniform_int_distribution<std::size_t>(0, onTrial.size() - 1)(random)];
 }
 
-std::size_t drawByWeight(
-    std::span<const std::size_t> targets, std::span<const health::TargetView> health, std::mt19937_64& random)
+double weightOf(const health::TargetView& view, config::RequestKind kind)
+{
+    return std::max(0.0, std::min(view.weight, view.weightFor[static_cast<std::size_t>(kind)]));
+}
+
+std::size_t drawByWeight(std::span<const std::size_t> targets, std::span<const health::TargetView> health,
+    config::RequestKind kind, std::mt19937_64& random)
 {
     double total = 0;
     for (const auto it : targets)
-        total += std::max(0.0, health[it].weight);
+        total += weightOf(health[it], kind);
     if (total <= 0)
         return targets[std::uniform_int_distribution<std::size_t>(0, targets.size() - 1)(random)];
     auto point = std::uniform_real_distribution<double>(0, total)(random);
     for (const auto it : targets) {
-        point -= std::max(0.0, health[it].weight);
+        point -= weightOf(health[it], kind);
         if (point < 0)
             return it;
     }
--- a/src/routing/candidates.h
+++ b/src/routing/candidates.h
@@ -19,8 +19,11 @@
 std::optional<std::size_t> chooseTrial(const PlacementRequest& request, const config::Service& service,
     std::span<const health::TargetView> health, std::span<const TargetLoad> load, std::mt19937_64& random);
 
-/// Draws one of `targets`, which must not be empty, with probability proportional to the health weight.
-std::size_t drawByWeight(
-    std::span<const std::size_t> targets, std::span<const health::TargetView> health, std::mt19937_64& random);
+/// Share of ordinary work of the kind that the target receives, 0 to 1.
+double weightOf(const health::TargetView& view, config::RequestKind kind);
+
+/// Draws one of `targets`, which must not be empty, with probability proportional to the weight for the kind.
+std::size_t drawByWeight(std::span<const std::size_t> targets, std::span<const health::TargetView> health,
+    config::RequestKind kind, std::mt19937_64& random);
 
 } // namespace buckthorncroft::routing::detail
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -42,7 +42,7 @@
                 return makeDecision(*trial, true, std::move(candidates.rejections), Rejection::NotSampled);
             if (candidates.targets.empty())
                 return { std::nullopt, false, std::move(candidates.rejections) };
-            const auto chosen = detail::drawByWeight(candidates.targets, health, random);
+            const auto chosen = detail::drawByWeight(candidates.targets, health, request.kind, random);
             return makeDecision(chosen, health[chosen].stage == health::Stage::Trial, std::move(candidates.rejections),
                 Rejection::NotSampled);
         }
@@ -64,14 +64,14 @@
                 return makeDecision(*trial, true, std::move(candidates.rejections), Rejection::NotSampled);
             if (candidates.targets.empty())
                 return { std::nullopt, false, std::move(candidates.rejections) };
-            const auto chosen = compare(candidates, service, health, load, random);
+            const auto chosen = compare(candidates, request.kind, service, health, load, random);
             return makeDecision(chosen, health[chosen].stage == health::Stage::Trial, std::move(candidates.rejections),
                 Rejection::NotSampled);
         }
 
     private:
         /// Splits the candidates by zone, draws two, and marks the losers. Returns the winner.
-        std::size_t compare(detail::Candidates& candidates, const config::Service& service,
+        std::size_t compare(detail::Candidates& candidates, config::RequestKind kind, const config::Service& service,
             std::span<const health::TargetView> health, std::span<const TargetLoad> load, std::mt19937_64& random) const
         {
             std::vector<std::size_t> own;
@@ -79,13 +79,13 @@
             for (const auto it : candidates.targets)
                 (service.targets[it].zone == m_ownZone ? own : other).push_back(it);
             const bool preferOwn
-                = std::bernoulli_distribution(ownZoneShare(candidates.targets, service, health))(random);
+                = std::bernoulli_distribution(ownZoneShare(candidates.targets, service, health, kind))(random);
             const auto& first = !own.empty() && (preferOwn || other.empty()) ? own : other;
-            auto sample = drawTwo(first, health, random);
+            auto sample = drawTwo(first, health, kind, random);
             // An own zone in which this instance already has work running is compared with another zone.
             if (&first == &own && !other.empty()
                 && std::all_of(sample.begin(), sample.end(), [&](std::size_t it) { return load[it].inFlight > 0; }))
-                sample.push_back(detail::drawByWeight(other, health, random));
+                sample.push_back(detail::drawByWeight(other, health, kind, random));
             if (&first == &own) {
                 for (const auto it : other)
                     candidates.rejections[it] = Rejection::OtherZone;
@@ -104,7 +104,7 @@
         /// The share of requests that the own zone's targets can take without more load than those of other zones, if
         /// every zone's instances receive equally many requests.
         double ownZoneShare(std::span<const std::size_t> targets, const config::Service& service,
-            std::span<const health::TargetView> health) const
+            std::span<const health::TargetView> health, config::RequestKind kind) const
         {
             std::map<std::string, double> capacity;
             double total = 0;
@@ -112,7 +112,7 @@
             for (const auto& it : service.targets)
                 capacity.emplace(it.zone, 0);
             for (const auto it : targets) {
-                const auto slots = service.targets[it].slots * std::max(0.0, health[it].weight);
+                const auto slots = service.targets[it].slots * detail::weightOf(health[it], kind);
                 capacity[service.targets[it].zone] += slots;
                 total += slots;
             }
@@ -122,17 +122,17 @@
             return std::min(1.0, own->second * static_cast<double>(capacity.size()) / total);
         }
 
-        static std::vector<std::size_t> drawTwo(
-            std::span<const std::size_t> targets, std::span<const health::TargetView> health, std::mt19937_64& random)
+        static std::vector<std::size_t> drawTwo(std::span<const std::size_t> targets,
+            std::span<const health::TargetView> health, config::RequestKind kind, std::mt19937_64& random)
         {
-            std::vector<std::size_t> result { detail::drawByWeight(targets, health, random) };
+            std::vector<std::size_t> result { detail::drawByWeight(targets, health, kind, random) };
             std::vector<std::size_t> rest;
             for (const auto it : targets) {
                 if (it != result.front())
                     rest.push_back(it);
             }
             if (!rest.empty())
-                result.push_back(detail::drawByWeight(rest, health, random));
+                result.push_back(detail::drawByWeight(rest, health, kind, random));
             return result;
         }
 
--- /dev/null
+++ b/tests/core/placement_test.cpp
@@ -0,0 +1,128 @@
+#define BOOST_TEST_MODULE Placement
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <buckthorncroft/routing/placement_point.h>
+#include <buckthorncroft/routing/placement_policy.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace buckthorncroft;
+using namespace std::chrono_literals;
+using config::RequestKind;
+
+namespace {
+
+const base::SteadyTime start { std::chrono::hours(1) };
+
+config::Service makeService(unsigned targets)
+{
+    const std::array<const char*, 3> zones { "a", "b", "c" };
+    config::Service service;
+    for (unsigned i = 0; i < targets; ++i)
+        service.targets.push_back({ "t" + std::to_string(i), "127.0.0.1", 1, zones[i % 3], 3, 400, false });
+    return service;
+}
+
+} // namespace
+
+// Guards against a point that grants more than a target can hold while others are free, or loses count of its grants.
+BOOST_AUTO_TEST_CASE(grantsFillSlotsEvenlyAndReleasesGiveThemBack)
+{
+    BOOST_TEST(rc::check([] {
+        const auto service = makeService(*rc::gen::inRange(1u, 7u));
+        const std::vector<health::TargetView> views(service.targets.size());
+        routing::PlacementPoint point(service, "a", 1);
+        std::map<std::uint64_t, std::size_t> held;
+        std::vector<unsigned> use(service.targets.size());
+        auto now = start;
+        for (const bool place : *rc::gen::arbitrary<std::vector<bool>>()) {
+            now += 1ms;
+            if (place) {
+                const auto grant = point.place({}, views, 50s, now);
+                const bool anyFree = *std::min_element(use.begin(), use.end()) < 3;
+                RC_ASSERT(grant.has_value() == (*std::min_element(use.begin(), use.end()) < 5));
+                if (!grant)
+                    continue;
+                RC_ASSERT(!anyFree || use[grant->target] < 3);
+                RC_ASSERT(held.emplace(grant->id, grant->target).second);
+                ++use[grant->target];
+            } else if (!held.empty()) {
+                RC_ASSERT(point.release(held.begin()->first, health::Verdict::Good, 50ms, now));
+                RC_ASSERT(!point.release(held.begin()->first, health::Verdict::Good, 50ms, now));
+                --use[held.begin()->second];
+                held.erase(held.begin());
+            }
+            RC_ASSERT(point.size() == held.size());
+        }
+        RC_ASSERT(!point.place({}, views, 1ms, now + 51s) || point.size() == 1);
+    }));
+}
+
+// Guards against slots that stay taken after the holder of a grant died, and against grants of removed targets.
+BOOST_AUTO_TEST_CASE(grantsLapseAndSurviveAReconfiguration)
+{
+    const std::vector<health::TargetView> views(2);
+    routing::PlacementPoint point(makeService(2), "a", 1);
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(point.place({}, views, i < 5 ? 1s : 2s, start).has_value());
+    BOOST_TEST(!point.place({}, views, 1s, start).has_value());
+    BOOST_TEST(point.place({}, views, 1s, start + 1s).has_value());
+    auto service = makeService(2);
+    service.targets.erase(service.targets.begin());
+    const auto before = point.granted(start + 1s);
+    point.reconfigure(service, start + 1s);
+    const auto after = point.granted(start + 1s);
+    BOOST_TEST(before.size() == 2u);
+    BOOST_TEST(after.size() == 1u);
+    BOOST_TEST(after[0].inUse == before[1].inUse);
+}
+
+// Guards against grants for draining or ejected targets, and for bookings on a target that is sick for them.
+BOOST_AUTO_TEST_CASE(grantsFollowTheHealthViews)
+{
+    std::vector<health::TargetView> views(4);
+    views[0].draining = true;
+    views[1].stage = health::Stage::Ejected;
+    views[2].suspectFor[1] = true;
+    routing::PlacementPoint point(makeService(4), "a", 1);
+    for (int i = 0; i < 5; ++i)
+        BOOST_TEST(point.place({ RequestKind::NonIdempotent, true, {} }, views, 1s, start)->target == 3u);
+    BOOST_TEST(point.place({ RequestKind::NonIdempotent, true, {} }, views, 1s, start)->target == 2u);
+}
+
+// Guards against a point that sends its zone's overflow to targets which the other zones' instances already fill.
+BOOST_AUTO_TEST_CASE(theOwnZoneComesFirstAndPeersUseCounts)
+{
+    const std::vector<health::TargetView> views(3);
+    routing::PlacementPoint point(makeService(3), "a", 1);
+    point.mergePeer("b", { { "t1", 3 } }, start);
+    std::array<int, 3> chosen {};
+    for (int i = 0; i < 5; ++i)
+        ++chosen[point.place({}, views, 1s, start)->target];
+    BOOST_TEST(chosen[0] >= 2);
+    BOOST_TEST(chosen[1] == 0);
+    BOOST_TEST(point.place({}, views, 1s, start)->utilisation > 0.9);
+}
+
+// Guards against an instance that never asks under load, swings between both ways, or keeps waiting for a lost point.
+BOOST_AUTO_TEST_CASE(anInstanceAsksUnderLoadAndPausesWithoutAnswers)
+{
+    routing::PlacementPolicy policy(39, 40);
+    policy.inFlightChanged(1, start);
+    BOOST_TEST(!policy.shouldAsk(start));
+    BOOST_TEST(policy.shouldAsk(start + 10s));
+    policy.reported(0.65, start + 10s);
+    BOOST_TEST(policy.shouldAsk(start + 10s));
+    policy.reported(0.55, start + 11s);
+    BOOST_TEST(!policy.shouldAsk(start + 11s));
+    policy.reported(0.65, start + 11s);
+    BOOST_TEST(!policy.shouldAsk(start + 11s));
+    BOOST_TEST(policy.shouldAsk(start + 20s));
+    for (int i = 0; i < 3; ++i)
+        policy.notAnswered(start + 20s);
+    BOOST_TEST(!policy.shouldAsk(start + 20s));
+    BOOST_TEST(policy.shouldAsk(start + 21s));
+    policy.notAnswered(start + 21s);
+    BOOST_TEST(!policy.shouldAsk(start + 21s));
+}
