--- /dev/null
+++ b/bench/measure.cpp
@@ -0,0 +1,206 @@
+// Measures the decisions in the simulation harness and prints docs/MEASUREMENTS.md. Usage: bench-measure [seeds]
+// Every figure comes from runs in virtual time with the seeds that the page names, so that it can be repeated.
+
+#include <support/simulation.h>
+
+#include <atomic>
+#include <cmath>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace buckthorncroft::simulation;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 20261204;
+constexpr unsigned workers = 3;
+
+struct Run {
+    std::string deployment;
+    std::string service;
+    double rate = 0; ///< Requests per second; a share of the capacity when `percent`.
+    bool percent = false;
+    double seconds = 60;
+    Fault fault;
+    Options options;
+};
+
+constexpr double faultAt = 20;
+
+Metrics execute(const Run& run)
+{
+    Simulation world(makeDeployment(run.deployment, { run.service }), run.options);
+    world.setRate(run.service, run.percent ? run.rate / 100 * world.capacity(run.service) : run.rate);
+    if (run.fault.kind != FaultKind::None)
+        world.at(faultAt, [&] { world.setFault(world.targetIds(run.service)[2], run.fault); });
+    world.run(run.seconds);
+    return std::move(world.metrics);
+}
+
+void merge(Metrics& sum, const Metrics& one)
+{
+    const double seconds = sum.seconds + one.seconds;
+    for (const auto field : { &Metrics::requests, &Metrics::good, &Metrics::notRun, &Metrics::unknown,
+             &Metrics::attempts, &Metrics::asked, &Metrics::refused, &Metrics::doubled, &Metrics::wrongAnswers,
+             &Metrics::falseNotRun, &Metrics::lateWork, &Metrics::floorViolations })
+        sum.*field += one.*field;
+    sum.latencies.insert(sum.latencies.end(), one.latencies.begin(), one.latencies.end());
+    for (const auto& [target, times] : one.detections)
+        sum.detections[target].insert(sum.detections[target].end(), times.begin(), times.end());
+    // Minutes of different runs must not coincide, because one minute of a target counts once.
+    for (const auto& [target, minute] : one.falseEjections)
+        sum.falseEjections.emplace(target, minute + static_cast<long>(std::ceil(sum.seconds / 60)));
+    for (const auto& [name, bytes] : one.controlBytes)
+        sum.controlBytes[name] += bytes;
+    sum.targets = one.targets;
+    sum.instances = one.instances;
+    sum.seconds = seconds;
+}
+
+/// Runs each element with all seeds and returns the sums in the same order.
+std::vector<Metrics> executeAll(const std::vector<Run>& runs, unsigned seeds)
+{
+    std::vector<Metrics> results(runs.size() * seeds);
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < workers; ++i) {
+        threads.emplace_back([&] {
+            for (std::size_t n = next++; n < results.size(); n = next++) {
+                auto run = runs[n / seeds];
+                run.options.seed = firstSeed + n % seeds;
+                results[n] = execute(run);
+            }
+        });
+    }
+    for (auto& it : threads)
+        it.join();
+    std::vector<Metrics> sums(runs.size());
+    for (std::size_t n = 0; n < results.size(); ++n)
+        merge(sums[n / seeds], results[n]);
+    return sums;
+}
+
+struct Named {
+    const char* name;
+    Options options;
+};
+
+std::vector<Named> variants()
+{
+    std::vector<Named> result { { "full", {} }, { "random choice", {} }, { "evidence alone", {} },
+        { "no retry budget", {} }, { "no stages", {} } };
+    result[1].options.policy = Policy::Random;
+    result[2].options.pooling = false;
+    result[3].options.retryBudget = false;
+    result[4].options.stages = false;
+    return result;
+}
+
+struct NamedFault {
+    const char* name;
+    Fault fault;
+};
+
+const std::vector<NamedFault> faults { { "slow, 5 times", { FaultKind::Slow, 5 } },
+    { "30 % errors", { FaultKind::Wrong, 0.3 } }, { "all errors", { FaultKind::Wrong, 1 } },
+    { "hanging", { FaultKind::Hanging, 1 } }, { "bookings only", { FaultKind::Bookings, 1 } },
+    { "dead", { FaultKind::Dead, 1 } }, { "flapping, 3 s", { FaultKind::Flapping, 3 } } };
+
+std::string seconds(double value)
+{
+    return std::isinf(value) ? "not within run" : fmt::format("{:.1f} s", value);
+}
+
+void printFaults(const std::string& deployment, const std::string& service, double rate, double length, unsigned seeds)
+{
+    std::vector<Run> runs;
+    for (const auto& fault : faults) {
+        for (const auto& variant : variants())
+            runs.push_back({ deployment, service, rate, false, length, fault.fault, variant.options });
+    }
+    const auto results = executeAll(runs, seeds);
+    fmt::print(
+        "\n## Faults: {} / {}, {} requests/s, fault at {} s of {} s\n\n", deployment, service, rate, faultAt, length);
+    fmt::print("| fault | variant | detection p50 | p99 | false ejections | goodput | latency p50 | p99 | attempts per "
+               "request | not run | unknown | doubled | wrong | floor violations | control B/s |\n|{}\n",
+        "---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const auto& it = results[i];
+        fmt::print(
+            "| {} | {} | {} | {} | {} | {:.4f} | {:.0f} ms | {:.0f} ms | {:.3f} | {} | {} | {} | {} | {} | {:.0f} |\n",
+            faults[i / variants().size()].name, variants()[i % variants().size()].name, seconds(it.detection(0.5)),
+            seconds(it.detection(0.99)), it.falseEjections.size(), it.goodput(), it.latency(0.5), it.latency(0.99),
+            it.attemptsPerRequest(), it.notRun, it.unknown, it.doubled, it.wrongAnswers, it.floorViolations,
+            it.bytesPerNodeSecond());
+    }
+}
+
+void printFalseEjections(unsigned seeds)
+{
+    constexpr double length = 1800;
+    const std::vector<Run> runs { { "sprungfloor", "bookdesk", 60, false, length, {}, {} },
+        { "sprungfloor", "stockboard", 60, false, length, {}, {} }, { "cymoedd", "hire", 4, false, length, {}, {} },
+        { "cymoedd", "hire", 40, false, length, {}, {} }, { "cymoedd", "calib", 4, false, length, {}, {} } };
+    const auto results = executeAll(runs, seeds);
+    fmt::print("\n## False ejections without a fault\n\nThe bound is the 95 % upper limit (Poisson) for the observed "
+               "number.\n\n| deployment | service | requests/s | target-days | false ejections | per 100 target-days | "
+               "bound per 100 target-days | goodput | control B/s |\n|---|---|---|---|---|---|---|---|---|\n");
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const auto& it = results[i];
+        const double days = it.seconds * it.targets / 86400;
+        const auto n = double(it.falseEjections.size());
+        // Wilson-Hilferty approximation of the Poisson limit; exact value 3.0 for none.
+        const double limit
+            = n == 0 ? 3.0 : (n + 1) * std::pow(1 - 1 / (9 * (n + 1)) + 1.645 / (3 * std::sqrt(n + 1)), 3);
+        fmt::print("| {} | {} | {} | {:.2f} | {} | {:.0f} | {:.0f} | {:.4f} | {:.0f} |\n", runs[i].deployment,
+            runs[i].service, runs[i].rate, days, n, n / days * 100, limit / days * 100, it.goodput(),
+            it.bytesPerNodeSecond());
+    }
+}
+
+void printPlacement(unsigned seeds)
+{
+    const std::vector<std::pair<const char*, Policy>> policies { { "random", Policy::Random },
+        { "two choices", Policy::TwoChoices }, { "placement point", Policy::Placement },
+        { "perfect knowledge", Policy::Perfect } };
+    const std::vector<double> loads { 50, 70, 85 };
+    std::vector<Run> runs;
+    for (const auto load : loads) {
+        for (const auto& [name, policy] : policies) {
+            Options options;
+            options.policy = policy;
+            runs.push_back({ "sprungfloor", "bookdesk", load, true, 30, {}, options });
+        }
+    }
+    const auto results = executeAll(runs, seeds);
+    fmt::print("\n## Placement: sprungfloor / bookdesk, no fault\n\n| load | policy | latency p50 | p99 | p99 against "
+               "perfect knowledge | asked the point | attempts per request | goodput | false ejections |\n"
+               "|---|---|---|---|---|---|---|---|---|\n");
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const auto& it = results[i];
+        const auto& perfect = results[i / policies.size() * policies.size() + policies.size() - 1];
+        fmt::print("| {} % | {} | {:.0f} ms | {:.0f} ms | {:+.0f} % | {:.0f} % | {:.3f} | {:.4f} | {} |\n",
+            loads[i / policies.size()], policies[i % policies.size()].first, it.latency(0.5), it.latency(0.99),
+            (it.latency(0.99) / perfect.latency(0.99) - 1) * 100, 100 * double(it.asked) / double(it.requests),
+            it.attemptsPerRequest(), it.goodput(), it.falseEjections.size());
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto seeds = argc > 1 ? static_cast<unsigned>(std::max(1, std::atoi(argv[1]))) : 3;
+    fmt::print("# Measurements\n\nMade by `scripts/measure.sh {}` with seeds {} to {}. Decision objects of the product "
+               "on fake instances (40), targets (3 slots, log-normal service time with a mean of 50 ms) and links in "
+               "virtual time. Detection is counted per instance, until it ejects or avoids the target (for bookings "
+               "only: until it moves bookings away). Control bytes are estimates from message contents, for the "
+               "instance that sends most. Variants turn one part off.\n",
+        seeds, firstSeed, firstSeed + seeds - 1);
+    printPlacement(seeds);
+    printFaults("sprungfloor", "bookdesk", 60, 60, seeds);
+    printFaults("cymoedd", "hire", 4, 120, seeds);
+    printFalseEjections(seeds);
+    return 0;
+}
--- /dev/null
+++ b/tests/support/exchange.cpp
@@ -0,0 +1,204 @@
+#include "instance.h"
+
+#include <algorithm>
+
+// What an instance hears and tells: health of targets, reports to coordinators, and their answers.
+namespace buckthorncroft::simulation {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr std::size_t reportLimit = 200;
+    // A report that a coordinator has not answered for this long goes to the coordinators of the other zones as well.
+    constexpr auto relayAfter = 1200ms;
+    // Sizes of messages in bytes, for the control traffic.
+    constexpr std::size_t headerBytes = 60;
+    constexpr std::size_t windowBytes = 22;
+    constexpr std::size_t scoreBytes = 26;
+    constexpr std::size_t idBytes = 14;
+
+} // namespace
+
+void Instance::refresh(std::size_t service, const std::vector<health::StageChange>& changes)
+{
+    auto& node = *m_nodes[service];
+    node.views = node.health.views(m_world.loop.now());
+    const auto& targets = node.service.targets;
+    unsigned available = 0;
+    unsigned in = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const auto& view = node.views[i];
+        const bool out = view.stage == health::Stage::Ejected || view.stage == health::Stage::Trial;
+        available += !view.draining && !node.down[i];
+        in += !view.draining && !node.down[i] && !out;
+        if ((out || view.avoidLocally
+                || (view.suspectFor[1] && m_world.targets[service][i]->fault.kind == FaultKind::Bookings))
+            && missed(service, i)) {
+            m_noticed.emplace(service, i);
+            m_world.metrics.detections[targets[i].id].push_back(
+                m_world.loop.seconds() - *m_world.faultStart(service, i));
+        }
+    }
+    m_world.metrics.floorViolations += in < std::min(config::floorTargets(node.service), available);
+    for (const auto& it : changes) {
+        const auto i = std::size_t(std::find_if(targets.begin(), targets.end(), [&](const auto& target) {
+            return target.id == it.target;
+        }) - targets.begin());
+        if (it.to == health::Stage::Ejected && it.from != it.to && !m_world.excusable(service, i))
+            m_world.metrics.falseEjections.emplace(it.target, long(m_world.loop.seconds() / 60));
+    }
+    if (!m_world.options.stages) {
+        for (auto& view : node.views) {
+            const bool ejected = view.stage == health::Stage::Ejected;
+            const bool draining = view.draining;
+            view = {};
+            view.stage = ejected ? health::Stage::Ejected : health::Stage::Healthy;
+            view.draining = draining;
+        }
+    }
+}
+
+bool Instance::missed(std::size_t service, std::size_t target) const
+{
+    const auto start = m_world.faultStart(service, target);
+    return start && *start >= m_born && !m_noticed.contains({ service, target });
+}
+
+void Instance::drainHeard(std::size_t service, std::size_t target, bool draining, health::DrainSource source)
+{
+    refresh(service, m_nodes[service]->health.setDraining(target, draining, source, m_world.loop.now()));
+}
+
+void Instance::started(std::size_t service, std::size_t target)
+{
+    for (const auto source :
+        { health::DrainSource::InstanceList, health::DrainSource::TargetAnswer, health::DrainSource::Peer })
+        drainHeard(service, target, false, source);
+    refresh(service, m_nodes[service]->health.targetStarted(target, m_world.loop.now()));
+}
+
+void Instance::down(std::size_t service, std::size_t target, bool isDown)
+{
+    m_nodes[service]->down[target] = isDown;
+    refresh(service, m_nodes[service]->health.setDown(target, isDown, m_world.loop.now()));
+}
+
+void Instance::message(Instance& to, std::size_t bytes, std::function<void()> receive)
+{
+    if (&to == this)
+        return receive();
+    m_world.metrics.controlBytes[place.name] += bytes;
+    if (const auto delay = m_world.links.delay(place, to.place))
+        m_world.loop.after(*delay, [&to, receive = std::move(receive)] {
+            if (to.alive)
+                receive();
+        });
+}
+
+void Instance::tick()
+{
+    const auto now = m_world.loop.now();
+    for (std::size_t s = 0; s < m_nodes.size(); ++s) {
+        auto& node = *m_nodes[s];
+        refresh(s, node.health.tick(now));
+        expire(s, node.queue.expire(now));
+        pump(s);
+        if (m_world.coordinator(s, place.zone) == this)
+            coordinate(s);
+        sendReport(s);
+    }
+}
+
+void Instance::coordinate(std::size_t service)
+{
+    auto& node = *m_nodes[service];
+    const auto now = m_world.loop.now();
+    node.scores = node.pool.evaluate(now);
+    node.scoredAt = now;
+    const auto windows = node.pool.relay(node.relayed, now, 2 * reportLimit);
+    node.relayed = now;
+    const auto granted = node.point.granted(now);
+    for (const auto& zone : m_world.deployment.zones) {
+        auto* to = zone == place.zone ? nullptr : m_world.coordinator(service, zone);
+        if (!to)
+            continue;
+        const auto bytes = headerBytes + windows.size() * windowBytes + (granted.size() + node.peers.size()) * idBytes;
+        message(*to, bytes, [this, to, service, windows, granted, peers = node.peers] {
+            auto& other = *to->m_nodes[service];
+            other.pool.merge(windows, m_world.loop.now());
+            other.point.mergePeer(place.zone, granted, m_world.loop.now());
+            for (const auto& [name, state] : peers) {
+                auto& known = other.peers[name];
+                if (known.at < state.at)
+                    known = state;
+            }
+        });
+    }
+}
+
+void Instance::sendReport(std::size_t service)
+{
+    auto& node = *m_nodes[service];
+    const auto now = m_world.loop.now();
+    for (auto& it : node.unacknowledged)
+        it.age += std::chrono::duration_cast<health::Duration>(now - node.reported);
+    std::erase_if(node.unacknowledged, [](const auto& it) { return it.age > 5s; });
+    const auto fresh = node.health.takeReport(now, reportLimit);
+    node.unacknowledged.insert(node.unacknowledged.end(), fresh.begin(), fresh.end());
+    node.reported = now;
+    ++node.sequence;
+    const PeerState state { node.health.ejected(), double(node.inFlight), now };
+    const auto bytes = headerBytes + node.unacknowledged.size() * windowBytes + state.ejected.size() * idBytes;
+    for (const auto& zone : m_world.deployment.zones) {
+        auto* to
+            = zone == place.zone || now - node.answered > relayAfter ? m_world.coordinator(service, zone) : nullptr;
+        if (to)
+            message(*to, bytes, [this, to, service, state, windows = node.unacknowledged, sequence = node.sequence] {
+                to->receiveReport(service, *this, windows, state, sequence);
+            });
+    }
+}
+
+void Instance::receiveReport(std::size_t service, Instance& sender, const std::vector<health::EvidenceWindow>& windows,
+    const PeerState& state, std::uint64_t sequence)
+{
+    auto& node = *m_nodes[service];
+    const auto now = m_world.loop.now();
+    node.pool.merge(windows, now);
+    node.peers[sender.place.name] = state;
+    std::erase_if(node.peers, [&](const auto& it) { return now - it.second.at > 3s; });
+    double running = 0;
+    std::size_t ejected = 0;
+    for (const auto& [name, peer] : node.peers) {
+        running += peer.inFlight;
+        ejected += peer.ejected.size();
+    }
+    const auto age = std::chrono::duration_cast<health::Duration>(now - node.scoredAt);
+    const auto bytes = headerBytes + node.scores.scores.size() * scoreBytes + ejected * idBytes;
+    message(sender, bytes,
+        [&sender, service, age, sequence, scores = node.scores, peers = node.peers,
+            use = running / slotsOf(node.service)] {
+            sender.receiveReply(service, scores, age, peers, use, sequence);
+        });
+}
+
+void Instance::receiveReply(std::size_t service, const health::PooledScores& scores, health::Duration age,
+    const std::map<std::string, PeerState>& peers, double utilisation, std::uint64_t sequence)
+{
+    auto& node = *m_nodes[service];
+    const auto now = m_world.loop.now();
+    node.answered = now;
+    if (sequence == node.sequence)
+        node.unacknowledged.clear();
+    node.policy.reported(utilisation, now);
+    if (!m_world.options.pooling)
+        return;
+    node.health.mergePooled(scores, age, now);
+    for (const auto& [name, peer] : peers) {
+        if (name != place.name)
+            refresh(service, node.health.mergeEjected(name, peer.ejected, now));
+    }
+}
+
+} // namespace buckthorncroft::simulation
