--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -22,11 +22,12 @@
         return load.connections < load.connectionShare || load.inFlight < load.connections;
     }
 
+    // Idempotent work stays on a suspect target at its reduced weight. Without it no evidence would arrive, and a
+    // target that fails everything would stay Suspect instead of being ejected.
     bool isSuspect(const PlacementRequest& request, const health::TargetView& view)
     {
-        // Idempotent work stays on a suspect target at its reduced weight, so that evidence keeps arriving.
-        return view.suspectFor[static_cast<std::size_t>(request.kind)]
-            || (view.stage == health::Stage::Suspect && request.kind != config::RequestKind::Idempotent);
+        return request.kind != config::RequestKind::Idempotent
+            && (view.stage == health::Stage::Suspect || view.suspectFor[static_cast<std::size_t>(request.kind)]);
     }
 
     Rejection reject(const PlacementRequest& request, std::size_t index, const config::Target& target,
