--- a/tests/support/instance.h
+++ b/tests/support/instance.h
@@ -119,6 +119,7 @@
     double bytesLeft() const;
     std::size_t relayLimit() const;
     PeerState summary(const Node& node, const std::string& without) const;
+    void noteFalseEjection(const health::StageChange& change);
     void coordinate(std::size_t service);
     void sendReport(std::size_t service);
     void receiveReport(std::size_t service, Instance& sender, const std::vector<health::EvidenceWindow>& windows,
