--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -205,7 +205,9 @@
                "on fake instances (40), targets (3 slots, log-normal service time with a mean of 50 ms) and links in "
                "virtual time. Detection is counted per instance, until it ejects or avoids the target (for bookings "
                "only: until it moves bookings away). Control bytes are estimates from message contents, for the "
-               "instance that sends most. Variants turn one part off. Fault "
+               "instance that sends most. Variants turn one part off. Instances of one run detect together, so that "
+               "small differences between rows "
+               "may be chance. Fault "
                "rows of the full product use {} seeds, the others {}.\n",
         seeds, firstSeed, firstSeed + std::uint64_t { 4 } * seeds - 1, 4 * seeds, seeds);
     printPlacement(seeds);
