--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -9,7 +9,7 @@
 
     // Trial requests take at most this share of the first attempts of idempotent requests, over all targets on trial.
     // Each needs a second attempt from the retry budget (10 %), of which most must stay available for retries.
-    constexpr double trialShare = 0.04;
+    constexpr double trialShare = 0.05;
 
     bool hasRoom(const config::Target& target, const TargetLoad& load)
     {
@@ -22,11 +22,12 @@
         return load.connections < load.connectionShare || load.inFlight < load.connections;
     }
 
+    // Idempotent work stays on a suspect target at its reduced weight. Without it no evidence would arrive, and a
+    // target that fails everything would stay Suspect instead of being ejected.
     bool isSuspect(const PlacementRequest& request, const health::TargetView& view)
     {
-        // Idempotent work stays on a suspect target at its reduced weight, so that evidence keeps arriving.
-        return view.suspectFor[static_cast<std::size_t>(request.kind)]
-            || (view.stage == health::Stage::Suspect && request.kind != config::RequestKind::Idempotent);
+        return request.kind != config::RequestKind::Idempotent
+            && (view.stage == health::Stage::Suspect || view.suspectFor[static_cast<std::size_t>(request.kind)]);
     }
 
     Rejection reject(const PlacementRequest& request, std::size_t index, const config::Target& target,
@@ -109,17 +110,22 @@
     return onTrial[std::uniform_int_distribution<std::size_t>(0, onTrial.size() - 1)(random)];
 }
 
-std::size_t drawByWeight(
-    std::span<const std::size_t> targets, std::span<const health::TargetView> health, std::mt19937_64& random)
+double weightOf(const health::TargetView& view, config::RequestKind kind)
+{
+    return std::max(0.0, std::min(view.weight, view.weightFor[static_cast<std::size_t>(kind)]));
+}
+
+std::size_t drawByWeight(std::span<const std::size_t> targets, std::span<const health::TargetView> health,
+    config::RequestKind kind, std::mt19937_64& random)
 {
     double total = 0;
     for (const auto it : targets)
-        total += std::max(0.0, health[it].weight);
+        total += weightOf(health[it], kind);
     if (total <= 0)
         return targets[std::uniform_int_distribution<std::size_t>(0, targets.size() - 1)(random)];
     auto point = std::uniform_real_distribution<double>(0, total)(random);
     for (const auto it : targets) {
-        point -= std::max(0.0, health[it].weight);
+        point -= weightOf(health[it], kind);
         if (point < 0)
             return it;
     }
