--- a/apps/buckthorncroft-load.cpp
+++ b/apps/buckthorncroft-load.cpp
@@ -129,7 +129,8 @@
     runner.start();
     context.run();
     std::cout << fmt::format("seed {}, {:.0f} s\n", line.seed, line.durationSeconds)
-              << formatTable(loadOptions.streams, runner.stats()) << std::flush;
+              << formatTable(loadOptions.streams, runner.stats()) << formatTotals(runner.stats()) << "\n"
+              << std::flush;
     if (!line.jsonFile.empty() && !writeJson(line.jsonFile, loadOptions.streams, runner.stats()))
         return reportProblems({ fmt::format("--json {}: cannot be written", line.jsonFile) });
     return runner.wrongAnswers() > 0 ? exitWrongAnswer : exitRan;
--- a/apps/load_model.h
+++ b/apps/load_model.h
@@ -158,4 +158,20 @@
     return text;
 }
 
+/// Formats the sums over all streams as one line of `name=value`; endings are those of attempts.
+inline std::string formatTotals(const std::vector<StreamStats>& stats)
+{
+    EndingCounts attempts {};
+    std::uint64_t requests = 0;
+    for (const auto& it : stats) {
+        requests += it.requests;
+        for (std::size_t ending = 0; ending < attempts.size(); ++ending)
+            attempts[ending] += it.attempts[ending];
+    }
+    auto text = fmt::format("total requests={}", requests);
+    for (std::size_t ending = 0; ending < attempts.size(); ++ending)
+        text += fmt::format(" {}={}", endingNames[ending], attempts[ending]);
+    return text;
+}
+
 } // namespace buckthorncroft::load
--- a/apps/load_runner.h
+++ b/apps/load_runner.h
@@ -258,19 +258,9 @@
 
     void printProgress() const
     {
-        EndingCounts sums {};
-        std::uint64_t requests = 0;
-        for (const auto& stats : m_stats) {
-            requests += stats.requests;
-            for (std::size_t it = 0; it < sums.size(); ++it)
-                sums[it] += stats.attempts[it];
-        }
         const std::chrono::duration<double> elapsed = m_clock.now() - m_start;
-        auto line = fmt::format("level=info event=progress elapsed_s={:.0f} requests={} in_flight={}", elapsed.count(),
-            requests, m_inFlight);
-        for (std::size_t it = 0; it < sums.size(); ++it)
-            line += fmt::format(" {}={}", endingNames[it], sums[it]);
-        std::cerr << line << "\n";
+        std::cerr << fmt::format("level=info event=progress elapsed_s={:.0f} in_flight={} {}\n", elapsed.count(),
+            m_inFlight, formatTotals(m_stats));
     }
 
     asio::io_context& m_context;
