--- a/include/buckthorncroft/health/evidence_pool.h
+++ b/include/buckthorncroft/health/evidence_pool.h
@@ -5,6 +5,7 @@
 #include <buckthorncroft/health/evidence.h>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,8 +29,12 @@
     /// Windows that changed after `since`, for the pools of other zones: most suspicious first, at most `limit`.
     std::vector<EvidenceWindow> relay(base::SteadyTime since, base::SteadyTime now, std::size_t limit) const;
 
-    /// Drops old evidence and scores every target and kind that has evidence.
-    PooledScores evaluate(base::SteadyTime now);
+    /// Drops old evidence and scores every target and kind that has evidence. The result of an earlier call is
+    /// returned when it is younger than `Settings::evaluateInterval`.
+    const PooledScores& evaluate(base::SteadyTime now);
+
+    /// When the scores that `evaluate` returns were computed; the age of the scores when they are sent follows from it.
+    base::SteadyTime evaluatedAt() const { return m_evaluatedAt; }
 
     /// Targets that a reporter finds bad while others find them good, as the last `evaluate` saw it. SelfCheck compares
     /// them over services.
@@ -50,29 +55,51 @@
         std::map<CellKey, Cell> cells;
         detail::Cusum carried; ///< State after the windows that have aged out.
         base::SteadyTime carriedAt; ///< Time to which `carried` has decayed.
+        Counts counts; ///< Sum of the cells, from the last evaluation.
         std::set<ReporterIndex> excluded; ///< Reporters whose path to the target is at fault.
         double baseline = 0; ///< From the last evaluation.
-        bool capped = false; ///< Whether the last evaluation limited the weight of each reporter.
     };
     using SeriesId = std::pair<std::size_t, config::RequestKind>;
 
-    ReporterIndex indexOf(const Reporter& reporter);
+    /// Evidence of one reporter or zone about one target.
+    struct Group {
+        Counts counts;
+        std::optional<base::SteadyTime> firstBad; ///< Start of the first window with a bad observation.
+    };
+
+    ReporterIndex indexOf(const Reporter& reporter, base::SteadyTime now);
+    bool used(const Series& series, ReporterIndex reporter) const;
+    void forgetReporters(base::SteadyTime now);
     void dropOld(base::SteadyTime now);
     void findDeviating();
     void setBaselines(base::SteadyTime now);
-    void excludePaths(Series& series, PooledScore& result);
-    PooledScore score(const SeriesId& id, Series& series, base::SteadyTime now);
+    void excludeReporters(Series& series) const;
+    std::string excludeZone(Series& series) const;
+    bool refuted(const Series& series, const Group& group, const std::set<ReporterIndex>& members) const;
+    double cap() const;
+    detail::Cusum accumulate(detail::Cusum start, std::vector<std::pair<ReporterIndex, const Cell*>> cells,
+        double baseline, double cap) const;
+    PooledScore score(const SeriesId& id, Series& series) const;
 
     Settings m_settings;
     Reporter m_self;
     double m_ejectScore = 0;
     std::vector<std::string> m_targets;
-    std::vector<Reporter> m_reporters;
+    struct Known {
+        Reporter reporter;
+        base::SteadyTime lastMerged; ///< No window of the reporter is younger.
+    };
+
+    std::map<ReporterIndex, Known> m_reporters;
     std::map<Reporter, ReporterIndex> m_reporterIndex;
+    ReporterIndex m_nextReporter = 0;
     std::map<SeriesId, Series> m_series;
-    std::set<Reporter> m_ignored;
+    std::set<Reporter> m_ignored; ///< From SelfCheck.
+    std::set<ReporterIndex> m_ignoredHere; ///< Deviating for several targets of this service.
     std::map<Reporter, std::set<std::string>> m_deviating;
     std::uint64_t m_sequence = 0;
+    PooledScores m_scores; ///< Result of the last evaluation.
+    base::SteadyTime m_evaluatedAt;
 };
 
 /// Finds reporters that are themselves at fault: they find targets of several services bad which others find good.
--- a/include/buckthorncroft/health/service_health.h
+++ b/include/buckthorncroft/health/service_health.h
@@ -74,7 +74,7 @@
     std::vector<TargetView> views(base::SteadyTime now) const;
 
     /// One explanation per target, in the order of the record.
-    std::vector<Explanation> explain(base::SteadyTime now) const;
+    std::vector<Explanation> explain() const;
 
     /// Targets that are in: configured, not Ejected or in Trial, not draining, not down.
     unsigned targetsIn() const;
@@ -92,7 +92,10 @@
         std::size_t target = 0;
         config::RequestKind kind = config::RequestKind::Idempotent;
         std::uint64_t index = 0;
-        auto operator<=>(const OwnWindow&) const = default;
+        bool operator<(const OwnWindow& other) const
+        {
+            return std::tie(target, kind, index) < std::tie(other.target, other.kind, other.index);
+        }
     };
     struct OwnCounts {
         Counts counts;
@@ -102,21 +105,27 @@
 
     void count(std::size_t target, config::RequestKind kind, Verdict verdict, base::SteadyTime at);
     void noteTrial(detail::TargetState& state, config::RequestKind kind, Verdict verdict);
+    void dropOldWindows(base::SteadyTime now);
     void scoreOwn(base::SteadyTime now);
     void scorePooled(base::SteadyTime now);
-    void applyScores(base::SteadyTime now);
-    void updateAvoidance(detail::TargetState& state, base::SteadyTime now) const;
+    void judge(detail::TargetState& state, base::SteadyTime now) const;
+    void judgeKind(detail::TargetState& state, std::size_t kind, bool endpoint, base::SteadyTime now) const;
+    void adoptFromPeers(base::SteadyTime now);
     void moveStage(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
-    void leaveSuspect(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
+    void moveTrial(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
     void enterRampUp(
         std::size_t target, Reason reason, Duration length, base::SteadyTime now, std::vector<StageChange>& changes);
     void eject(std::size_t target, Reason reason, base::SteadyTime now, std::vector<StageChange>& changes);
+    void readmit(std::size_t target, base::SteadyTime now, std::vector<StageChange>& changes);
+    void holdBack(std::size_t target, std::vector<StageChange>& changes);
     void change(std::size_t target, Stage to, Reason reason, base::SteadyTime now, std::vector<StageChange>& changes);
-    void adoptFromPeers(base::SteadyTime now, std::vector<StageChange>& changes);
     void applyFloor(base::SteadyTime now, std::vector<StageChange>& changes);
     std::vector<FloorCandidate> candidates(base::SteadyTime now) const;
-    bool available(std::size_t target) const;
+    bool available(const detail::TargetState& state) const { return !state.down && state.drains.empty(); }
     double threshold(const detail::TargetState& state) const;
+    bool hasIdempotentRoute() const;
+    double endpointScore(const detail::TargetState& state, base::SteadyTime now) const;
+    double idempotentWeight(const detail::TargetState& state, base::SteadyTime now) const;
     StageChange describe(std::size_t target) const;
 
     config::Service m_service;
--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -168,7 +168,7 @@
     m_done = std::move(done);
     http::asio::co_spawn(
         m_context.io,
-        [self = shared_from_this(), onContinue = std::move(onContinue)]() {
+        [self = shared_from_this(), onContinue = std::move(onContinue)]() mutable {
             return self->receiveStreamed(std::move(onContinue));
         },
         http::asio::detached);
@@ -197,6 +197,7 @@
 {
     if (m_ended)
         return;
+    m_bodySent = true;
     m_started = m_firstByte = m_context.clock().now();
     m_answerBy = answerBy;
     m_connection->closeAt(answerBy);
@@ -208,7 +209,8 @@
     const auto& contract = m_placement.service->notRun;
     if (head.result_int() == contract.status && isTrue(head[contract.header])) {
         m_outcome->refusedNotRun(m_outcomeId);
-        conclude(AttemptState::Refused, Verdict::Shed);
+        // A leaving target refuses by the same contract; the drain must be heard even then.
+        conclude(AttemptState::Refused, isTrue(head[drainingHeader]) ? Verdict::Draining : Verdict::Shed);
         return;
     }
     m_state = AttemptState::Answered;
@@ -268,6 +270,9 @@
 
 void Attempt::reportPending(base::SteadyTime now) const
 {
+    // While a body moves, the attempt's age depends on the caller.
+    if (m_request->streamed && !m_bodySent)
+        return;
     m_context.shared.dependencies.observations.push({ m_placement.service, observation(now), m_number, true });
 }
 
--- a/src/daemon/request_executor.cpp
+++ b/src/daemon/request_executor.cpp
@@ -18,8 +18,8 @@
     using outcome::Outcome;
 
     // Buffers of one request besides its body: two held answers and the pieces on the way.
-    constexpr std::size_t bufferBytes = 2 * http::holdLimit + 32 * 1024;
-    constexpr std::size_t pieceBytes = 16 * 1024;
+    constexpr std::size_t bufferBytes = 2 * http::holdLimit + std::size_t { 32 } * 1024;
+    constexpr std::size_t pieceBytes = std::size_t { 16 } * 1024;
     constexpr std::size_t maxKeyBytes = 200;
     constexpr std::chrono::seconds defaultRetryAfter { 1 };
 
@@ -55,7 +55,7 @@
 bool RequestExecutor::keepAlive() const
 {
     // Without the rest of the body, the next request's place on the connection is unknown.
-    return m_caller.wantsKeepAlive() && m_caller.bodyComplete() && !m_callerLost
+    return m_caller.wantsKeepAlive() && m_caller.bodyComplete() && !m_callerLost && !m_framingDoubtful
         && !m_context.shared.stopAnnounced.load(std::memory_order_relaxed);
 }
 
@@ -78,10 +78,12 @@
     co_return ending;
 }
 
-RequestExecutor::MaybeEnding RequestExecutor::checkHead() const
+RequestExecutor::MaybeEnding RequestExecutor::checkHead()
 {
-    if (auto refusal = http::checkRequestHead(m_caller.head()))
+    if (auto refusal = http::checkRequestHead(m_caller.head())) {
+        m_framingDoubtful = true;
         return Ending { refusal->status, Outcome::NotRun, std::move(refusal->reason) };
+    }
     if (hasDotSegments(m_caller.head().target()))
         return Ending { 400, Outcome::NotRun, "the path must not contain . or .. segments" };
     return std::nullopt;
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -136,7 +136,7 @@
 {
     while (!m_parser->is_done() && m_held.size() < holdLimit) {
         const auto old = m_held.size();
-        m_held.resize(std::min(holdLimit, old + 16 * 1024));
+        m_held.resize(std::min(holdLimit, old + std::size_t { 16 } * 1024));
         const auto n = co_await readSome(m_held.data() + old, m_held.size() - old);
         m_held.resize(old + n);
         if (m_broken)
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -25,7 +25,7 @@
 constexpr const char* requestIdHeader = "Buckthorncroft-Request-Id";
 
 /// Bytes of an answer that are held before any of it is passed on, so that a broken small answer can be replaced.
-constexpr std::size_t holdLimit = 64 * 1024;
+constexpr std::size_t holdLimit = std::size_t { 64 } * 1024;
 
 /// One call over one connection. The connection is reusable only after a clean and complete exchange.
 class TargetCall {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -135,7 +135,7 @@
 {
     std::vector<Entry*> fresh;
     for (auto& [name, entry] : m_entries) {
-        if (entry.heardDirectly && now - *entry.heardDirectly < m_settings.contactTimeout)
+        if (entry.heardAtAll && now - *entry.heardAtAll < m_settings.contactTimeout)
             fresh.push_back(&entry);
     }
     std::stable_sort(
@@ -144,27 +144,41 @@
     std::vector<PeerAge> result;
     for (auto* it : fresh) {
         it->relayedAt = ++m_relayTurn;
-        result.push_back({ it->peer, std::chrono::duration_cast<std::chrono::milliseconds>(now - *it->heardDirectly) });
+        result.push_back({ it->peer, std::chrono::duration_cast<std::chrono::milliseconds>(now - *it->heardAtAll) });
     }
     return result;
 }
 
-std::optional<Peer> Membership::coordinator(
-    const std::string& service, const std::string& zone, base::SteadyTime now) const
+CoordinatorTable::CoordinatorTable(const std::vector<Peer>& live)
 {
-    const auto peers = live(now);
-    std::optional<Peer> best;
+    for (const auto& it : live)
+        m_zones[it.zone].push_back(it);
+}
+
+const Peer* CoordinatorTable::find(const std::string& service, const std::string& zone) const
+{
+    const auto it = m_zones.find(zone);
+    if (it == m_zones.end())
+        return nullptr;
+    const Peer* best = nullptr;
     std::uint64_t bestScore = 0;
-    for (const auto& it : peers) {
-        if (it.zone != zone)
-            continue;
-        const auto score = rendezvousScore(service, it.instance);
+    for (const auto& peer : it->second) {
+        const auto score = rendezvousScore(service, peer.instance);
         if (!best || score > bestScore) {
-            best = it;
+            best = &peer;
             bestScore = score;
         }
     }
     return best;
 }
 
+std::vector<std::string> CoordinatorTable::zones() const
+{
+    std::vector<std::string> result;
+    result.reserve(m_zones.size());
+    for (const auto& [zone, peers] : m_zones)
+        result.push_back(zone);
+    return result;
+}
+
 } // namespace buckthorncroft::membership
