Release claims that arrive after the traffic threads have ended

Cause: a claim service may call back shortly after the deadline; when the server had ended meanwhile, the callback used a destroyed io_context and the key stayed blocked. Change: the callback checks under a mutex whether the traffic threads exist, and releases a claim that nobody waits for. In fullQueueRefusesEarly the waiting request now has a deadline of 1 s: before, its deadline was milliseconds after that of the request that held the slot, so on a slow machine it was rightly sent at the last moment and ended as unknown. The expected outcomes are unchanged.

--- a/src/daemon/claim_guard.cpp
+++ b/src/daemon/claim_guard.cpp
@@ -25,13 +25,21 @@
     m_request = std::move(request);
     const auto pending = std::make_shared<Pending>(m_context.io);
     auto& io = m_context.io;
-    claims->acquire(m_request, deadline, [&io, pending, claims, claimed = m_request](outcome::ClaimResult result) {
-        http::asio::post(io, [pending, claims, claimed, result = std::move(result)]() mutable {
-            if (pending->abandoned && result.status == outcome::ClaimStatus::Held)
-                claims->release(claimed, result.token);
-            pending->gate.set(std::move(result));
+    const auto liveness = m_context.shared.liveness;
+    claims->acquire(
+        m_request, deadline, [&io, liveness, pending, claims, claimed = m_request](outcome::ClaimResult result) {
+            const std::lock_guard lock(liveness->mutex);
+            if (!liveness->alive) {
+                if (result.status == outcome::ClaimStatus::Held)
+                    claims->release(claimed, result.token);
+                return;
+            }
+            http::asio::post(io, [pending, claims, claimed, result = std::move(result)]() mutable {
+                if (pending->abandoned && result.status == outcome::ClaimStatus::Held)
+                    claims->release(claimed, result.token);
+                pending->gate.set(std::move(result));
+            });
         });
-    });
     auto result = co_await pending->gate.wait(deadline);
     pending->abandoned = !result;
     if (result && result->status == outcome::ClaimStatus::Held)
--- a/src/daemon/traffic_context.h
+++ b/src/daemon/traffic_context.h
@@ -5,11 +5,19 @@
 
 #include <atomic>
 #include <buckthorncroft/daemon/traffic_server.h>
+#include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 
 namespace buckthorncroft::daemon {
 
+/// Whether the traffic threads still exist, for answers of the claim service that arrive after they have ended.
+struct Liveness {
+    std::mutex mutex;
+    bool alive = true; ///< Guarded by `mutex`.
+};
+
 /// State that all traffic threads share.
 struct TrafficShared {
     TrafficShared(const InstanceSettings& settings, TrafficDependencies use)
@@ -27,6 +35,7 @@
     std::atomic<std::uint64_t> nextAttempt { 1 };
     std::atomic<std::size_t> active { 0 };
     std::atomic<bool> stopAnnounced { false };
+    std::shared_ptr<Liveness> liveness = std::make_shared<Liveness>();
 };
 
 class Attempt;
--- a/src/daemon/traffic_server.cpp
+++ b/src/daemon/traffic_server.cpp
@@ -206,6 +206,10 @@
         if (it->thread.joinable())
             it->thread.join();
     }
+    {
+        const std::lock_guard lock(shared.liveness->mutex);
+        shared.liveness->alive = false;
+    }
     shared.services.shutDown();
     acceptor.reset();
     workers.clear();
--- a/tests/io/attempts_test.cpp
+++ b/tests/io/attempts_test.cpp
@@ -208,6 +208,33 @@
     BOOST_TEST(a.requests == 1u);
 }
 
+// Guards against a crash, and a key that stays blocked, when the store answers after the server has ended.
+BOOST_AUTO_TEST_CASE(claimThatArrivesTooLateIsReleased)
+{
+    struct LateClaims final : outcome::ClaimService {
+        void acquire(
+            const outcome::ClaimRequest&, base::SteadyTime, std::function<void(outcome::ClaimResult)> done) override
+        {
+            late = std::move(done);
+        }
+        void release(const outcome::ClaimRequest&, const std::string& token) override { released = token; }
+        void complete(const outcome::ClaimRequest&, const std::string&, const outcome::RecordedAnswer&) override { }
+        std::function<void(outcome::ClaimResult)> late;
+        std::string released;
+    } claims;
+    {
+        ServerFixture fixture;
+        fixture.claims = &claims;
+        fixture.addTarget(1);
+        fixture.start();
+        const auto answer = fixture.call("POST", "/book", "Idempotency-Key: k\r\nBuckthorncroft-Deadline-Ms: 50\r\n");
+        BOOST_TEST(statusOf(answer) == "503");
+        BOOST_TEST(headerOf(answer, "Buckthorncroft-Outcome") == "not-run");
+    }
+    claims.late({ outcome::ClaimStatus::Held, "token", {}, {} });
+    BOOST_TEST(claims.released == "token");
+}
+
 // Guards against keyed requests that run without a claim.
 BOOST_AUTO_TEST_CASE(keyedRequestWithoutClaimServiceIsNotRun)
 {
@@ -261,7 +288,8 @@
     while (target.connections() == 0)
         std::this_thread::yield();
     const auto second = fixture.caller();
-    second->send("POST /book HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n\r\n");
+    // Its deadline comes while the first still holds the slot, so that it cannot be sent at the last moment.
+    second->send("POST /book HTTP/1.1\r\nHost: s\r\nBuckthorncroft-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n");
     while (fixture.server->active() < 2)
         std::this_thread::yield();
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
