Release a grant that arrives after its request has ended, in the harness

Cause: the address sanitizer reported cycles between attempts and jobs, and a second attempt could be sent for a request that had ended while the point was asked. Change: attempts no longer own their request; a late grant is released. Conclusion: harness only; no product code is concerned.

--- a/tests/support/instance.cpp
+++ b/tests/support/instance.cpp
@@ -235,6 +235,9 @@
 
 void Instance::send(const RequestPtr& request, std::size_t target, std::uint64_t grant, Instance* point)
 {
+    // The request may have ended while the point was asked for a second attempt.
+    if (request->finished)
+        return release(request->service, grant, point, Verdict::Cancelled, Micros(0));
     auto attempt = std::make_shared<Attempt>();
     attempt->target = target;
     attempt->id = request->outcome.startAttempt();
@@ -246,7 +249,7 @@
     request->used.push_back(target);
     ++m_world.metrics.attempts;
     changeInFlight(request->service, target, 1);
-    request->abandon.push_back([this, request, attempt] { end(request, attempt, Verdict::Cancelled); });
+    request->abandon.push_back([this, attempt](const RequestPtr& it) { end(it, attempt, Verdict::Cancelled); });
     auto& fake = *m_world.targets[request->service][target];
     const auto there = m_world.links.delay(place, fake.place);
     const auto back = m_world.links.delay(fake.place, place);
@@ -273,9 +276,12 @@
     attempt->job = std::make_shared<Job>();
     attempt->job->kind = request->kind;
     attempt->job->executions = request->executions;
-    attempt->job->reply = [this, request, attempt, &fake](Answer answer) {
+    attempt->job->reply = [this, request, weak = std::weak_ptr(attempt), &fake](Answer answer) {
+        const auto answered = weak.lock();
+        if (!answered)
+            return;
         if (const auto back = m_world.links.delay(fake.place, place))
-            m_world.loop.after(*back, [this, request, attempt, answer] { received(request, attempt, answer); });
+            m_world.loop.after(*back, [this, request, answered, answer] { received(request, answered, answer); });
     };
     m_world.loop.after(*delay, [this, request, attempt, &fake] {
         --m_world.underWay[request->service][attempt->target];
@@ -422,7 +428,7 @@
         return;
     auto& metrics = m_world.metrics;
     for (const auto& it : std::exchange(request->abandon, {}))
-        it();
+        it(request);
     --inFlight;
     const auto outcome = answered ? outcome::Outcome::Completed : request->outcome.outcome();
     const auto now = m_world.loop.now();
--- a/tests/support/instance.h
+++ b/tests/support/instance.h
@@ -21,7 +21,8 @@
     std::shared_ptr<unsigned> executions = std::make_shared<unsigned>(0);
     outcome::RequestOutcome outcome;
     std::vector<std::size_t> used;
-    std::vector<std::function<void()>> abandon; ///< Cancels an attempt if it is still in flight.
+    std::vector<std::function<void(const std::shared_ptr<Request>&)>>
+        abandon; ///< Cancels an attempt if it is still in flight.
 };
 using RequestPtr = std::shared_ptr<Request>;
 
