Pool latencies, so that slow and hanging targets are found at low rates

Change: evidence windows carry count, mean and deviation of log latencies; a coordinator gives one slow limit per request kind, from the median of the targets' means and the spread within targets without the slowest quarter.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -180,7 +180,7 @@
     constexpr std::size_t windows = 1000;
     for (std::size_t i = 0; i < windows; ++i)
         part.windows.push_back({ { "instance-1", "zone-1", 2 }, "service-17-" + std::to_string(i % 23),
-            config::RequestKind::Idempotent, 1000 + i, 500ms, { 3, 0, 1 } });
+            config::RequestKind::Idempotent, 1000 + i, 500ms, { 3, 0, 1 }, { 4, 44, 485 } });
     report.services.push_back(part);
     const auto full = wire::encode(report);
     fmt::print("\n{:<44} {:>12} {:>14}\n", "bytes on the wire", "", "bytes each");
--- a/include/buckthorncroft/health/evidence.h
+++ b/include/buckthorncroft/health/evidence.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <buckthorncroft/config/model.h>
+#include <buckthorncroft/health/latency_moments.h>
 #include <buckthorncroft/health/settings.h>
 #include <cstdint>
 #include <string>
@@ -41,6 +42,7 @@
     std::uint64_t window = 0; ///< Index since the reporter's start.
     Duration age { 0 }; ///< Time since the window's start when the report was sent.
     Counts counts;
+    LatencyMoments latency; ///< Of whole answers. Grows with the counts.
 };
 
 /// What a coordinator concludes about one target and request kind from the windows of all reporters.
@@ -61,6 +63,8 @@
     std::uint64_t sequence = 0; ///< Raised by one with each evaluation; a receiver ignores lower ones.
     std::vector<PooledScore> scores; ///< Most suspicious first.
     std::vector<Reporter> ignored; ///< Reporters whose evidence is not used.
+    /// Latency from which an answer is slow against the service's usual ones, by request kind; 0 while unknown.
+    std::array<Duration, config::requestKindCount> slowLimits {};
 };
 
 /// One target that a peer has ejected.
--- a/include/buckthorncroft/health/evidence_pool.h
+++ b/include/buckthorncroft/health/evidence_pool.h
@@ -48,11 +48,13 @@
         base::SteadyTime start; ///< Start of the window on this instance's clock, as the fastest message shows it.
         base::SteadyTime changed; ///< When the counts last grew.
         Counts counts;
+        LatencyMoments latency;
     };
     using ReporterIndex = std::uint32_t;
     using CellKey = std::pair<ReporterIndex, std::uint64_t>; ///< Reporter and window.
     struct Series {
         std::map<CellKey, Cell> cells;
+        LatencyMoments carriedLatency; ///< Of the windows that have aged out; decays with `carried`.
         detail::Cusum carried; ///< State after the windows that have aged out.
         base::SteadyTime carriedAt; ///< Time to which `carried` has decayed.
         Counts counts; ///< Sum of the cells, from the last evaluation.
@@ -73,6 +75,7 @@
     void dropOld(base::SteadyTime now);
     void findDeviating();
     void setBaselines(base::SteadyTime now);
+    std::optional<Duration> slowLimit(config::RequestKind kind) const;
     void excludeReporters(Series& series) const;
     std::string excludeZone(Series& series) const;
     bool refuted(const Series& series, const Group& group, const std::set<ReporterIndex>& members) const;
--- a/include/buckthorncroft/health/service_health.h
+++ b/include/buckthorncroft/health/service_health.h
@@ -99,10 +99,12 @@
     };
     struct OwnCounts {
         Counts counts;
+        LatencyMoments latency;
         bool unscored = true; ///< Not yet in `m_own`.
         bool unreported = true; ///< Not yet given by `takeReport`.
     };
 
+    OwnCounts& windowAt(std::size_t target, config::RequestKind kind, base::SteadyTime at);
     void count(std::size_t target, config::RequestKind kind, Verdict verdict, base::SteadyTime at);
     void noteTrial(detail::TargetState& state, config::RequestKind kind, Verdict verdict);
     void dropOldWindows(base::SteadyTime now);
--- a/include/buckthorncroft/health/settings.h
+++ b/include/buckthorncroft/health/settings.h
@@ -30,6 +30,7 @@
     double slowDeviations = 2.4; ///< Slow limit above the others' median, in standard deviations of log latency.
     double slowMinFactor = 2; ///< Slow limit as a multiple of the others' median, at least.
     std::size_t latencySamples = 256; ///< Recent latencies per service and kind that the slow limit is taken from.
+    Duration latencyHalfLife { std::chrono::seconds(15) }; ///< Decay of pooled latencies; follows a load peak.
     std::size_t minLatencySamples = 30; ///< With fewer samples only the deadline decides what is slow.
 
     // Pooling.
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -13,7 +13,7 @@
     using std::chrono::milliseconds;
 
     constexpr double bytesPerMessage = 250; // Peers, sender and transport headers of one message.
-    constexpr double bytesPerWindow = 28; // One evidence window, encoded.
+    constexpr double bytesPerWindow = 36; // One evidence window, encoded.
     constexpr std::size_t maxRelayedWindows = 5000;
     // Windows that arrived at the time of the last relay are sent again, because some may have come after it.
     constexpr std::chrono::milliseconds relayOverlap { 1 };
--- a/src/health/evidence_pool.cpp
+++ b/src/health/evidence_pool.cpp
@@ -82,12 +82,14 @@
         if (found == series.cells.end()) {
             if (series.cells.size() >= m_settings.maxCells)
                 continue;
-            series.cells.emplace(key, Cell { start, now, it.counts });
+            series.cells.emplace(key, Cell { start, now, it.counts, it.latency });
             ++changed;
             continue;
         }
         // A delayed message makes a window look younger than it is, so the earliest start is the best estimate.
         found->second.start = std::min(found->second.start, start);
+        if (it.latency.count > found->second.latency.count)
+            found->second.latency = it.latency;
         if (grow(found->second.counts, it.counts)) {
             found->second.changed = now;
             ++changed;
@@ -103,7 +105,7 @@
         for (const auto& [key, cell] : series.cells)
             if (cell.changed >= since && now - cell.start <= m_settings.maxAge)
                 result.push_back({ m_reporters.at(key.first).reporter, m_targets[id.first], id.second, key.second,
-                    std::chrono::duration_cast<Duration>(now - cell.start), cell.counts });
+                    std::chrono::duration_cast<Duration>(now - cell.start), cell.counts, cell.latency });
     std::stable_sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
         return a.counts.against() != b.counts.against() ? a.counts.against() > b.counts.against() : a.age < b.age;
     });
@@ -127,6 +129,8 @@
         excludeReporters(series);
         m_scores.scores.push_back(score(id, series));
     }
+    for (std::size_t kind = 0; kind < config::requestKindCount; ++kind)
+        m_scores.slowLimits[kind] = slowLimit(static_cast<config::RequestKind>(kind)).value_or(Duration(0));
     std::stable_sort(m_scores.scores.begin(), m_scores.scores.end(),
         [](const auto& a, const auto& b) { return std::max(a.score, a.pathScore) > std::max(b.score, b.pathScore); });
     for (const auto& [index, known] : m_reporters)
@@ -144,6 +148,7 @@
 void EvidencePool::dropOld(base::SteadyTime now)
 {
     const double halfLife = std::chrono::duration<double>(m_settings.scoreHalfLife).count();
+    const double latencyHalfLife = std::chrono::duration<double>(m_settings.latencyHalfLife).count();
     for (auto& [id, series] : m_series) {
         std::vector<std::pair<ReporterIndex, const Cell*>> old;
         for (const auto& [key, cell] : series.cells)
@@ -151,13 +156,18 @@
                 old.emplace_back(key.first, &cell);
         const double age = std::chrono::duration<double>(now - series.carriedAt).count();
         series.carried.scale(std::exp2(-age / halfLife));
+        series.carriedLatency.scale(std::exp2(-age / latencyHalfLife));
+        for (const auto& [reporter, cell] : old)
+            series.carriedLatency.add(cell->latency);
         series.carriedAt = now;
         if (!old.empty())
             series.carried = accumulate(series.carried, old, series.baseline, cap());
         std::erase_if(series.cells, [&](const auto& it) { return now - it.second.start > m_settings.maxAge; });
     }
-    std::erase_if(
-        m_series, [](const auto& it) { return it.second.cells.empty() && it.second.carried.score() < negligible; });
+    std::erase_if(m_series, [](const auto& it) {
+        const auto& series = it.second;
+        return series.cells.empty() && series.carried.score() < negligible && series.carriedLatency.count < negligible;
+    });
     for (auto& [id, series] : m_series) {
         series.counts = {};
         for (const auto& [key, cell] : series.cells)
@@ -226,6 +236,43 @@
     }
 }
 
+// The median over the targets' means and the spread within the targets, without the slowest quarter of them, so that a
+// few gray targets hardly move the limit.
+std::optional<Duration> EvidencePool::slowLimit(config::RequestKind kind) const
+{
+    std::vector<LatencyMoments> targets;
+    for (const auto& [id, series] : m_series) {
+        if (id.second != kind)
+            continue;
+        auto moments = series.carriedLatency;
+        for (const auto& [key, cell] : series.cells)
+            if (used(series, key.first))
+                moments.add(cell.latency);
+        if (moments.count >= 1)
+            targets.push_back(moments);
+    }
+    constexpr std::size_t minTargets = 3; // With fewer, one gray target would decide the median.
+    if (targets.size() < minTargets)
+        return std::nullopt;
+    std::sort(targets.begin(), targets.end(), [](const auto& a, const auto& b) { return a.mean() < b.mean(); });
+    const double median = targets[targets.size() / 2].mean();
+    targets.resize(targets.size() - targets.size() / 4);
+    double count = 0;
+    double deviation = 0;
+    for (const auto& it : targets) {
+        count += it.count;
+        deviation += it.deviation();
+    }
+    // Each target's mean takes one degree of freedom.
+    const double degrees = count - static_cast<double>(targets.size());
+    if (count < static_cast<double>(m_settings.minLatencySamples) || degrees < 1)
+        return std::nullopt;
+    const double spread = std::sqrt(deviation / degrees);
+    const double above = std::max(m_settings.slowDeviations * spread, std::log(m_settings.slowMinFactor));
+    constexpr double maxLog = 22; // About an hour; larger exponents would overflow.
+    return Duration(static_cast<Duration::rep>(std::exp(std::min(median + above, maxLog))));
+}
+
 detail::Cusum EvidencePool::accumulate(
     detail::Cusum start, std::vector<std::pair<ReporterIndex, const Cell*>> cells, double baseline, double cap) const
 {
--- a/src/health/service_health.cpp
+++ b/src/health/service_health.cpp
@@ -97,8 +97,11 @@
     }
     // Latencies during a cold start say nothing about the usual ones.
     const bool whole = verdict == Verdict::Good || verdict == Verdict::Slow;
-    if (whole && observation.at >= state.coldUntil)
+    if (whole && observation.at >= state.coldUntil) {
         m_latencies[kind].add(observation.target, observation.latency);
+        windowAt(observation.target, observation.kind, observation.at)
+            .latency.add(std::log(std::max<double>(1, static_cast<double>(observation.latency.count()))));
+    }
     if (observation.countedPending)
         return;
     // An attempt that started before the trial is no answer to it.
@@ -109,6 +112,10 @@
 
 std::optional<Duration> ServiceHealth::slowLimit(std::size_t target, config::RequestKind kind) const
 {
+    // The pooled limit rests on the answers of all instances; at low rates an instance alone needs minutes for its own.
+    for (const auto& [coordinator, report] : m_pooled)
+        if (const auto limit = report.scores.slowLimits[indexOf(kind)]; limit > Duration(0))
+            return limit;
     return m_latencies[indexOf(kind)].slowLimit(target);
 }
 
@@ -131,14 +138,20 @@
         ++state.trialGoods;
 }
 
-void ServiceHealth::count(std::size_t target, config::RequestKind kind, Verdict verdict, base::SteadyTime at)
+ServiceHealth::OwnCounts& ServiceHealth::windowAt(std::size_t target, config::RequestKind kind, base::SteadyTime at)
 {
-    if (at < m_targets[target].coldUntil)
-        return;
     const auto index
         = static_cast<std::uint64_t>(std::max<base::SteadyTime::duration>(at - m_start, {}) / m_settings.window);
     auto& window = m_windows[{ target, kind, index }];
     window.unscored = window.unreported = true;
+    return window;
+}
+
+void ServiceHealth::count(std::size_t target, config::RequestKind kind, Verdict verdict, base::SteadyTime at)
+{
+    if (at < m_targets[target].coldUntil)
+        return;
+    auto& window = windowAt(target, kind, at);
     if (verdict == Verdict::Good)
         ++window.counts.good;
     else if (verdict == Verdict::Slow)
@@ -169,8 +182,8 @@
         it->second.unreported = false;
         // A clock reading just before the window's start would otherwise give a negative age.
         const auto age = std::max(Duration(0), std::chrono::duration_cast<Duration>(now - start));
-        result.push_back(
-            { m_self, m_targets[it->first.target].id, it->first.kind, it->first.index, age, it->second.counts });
+        result.push_back({ m_self, m_targets[it->first.target].id, it->first.kind, it->first.index, age,
+            it->second.counts, it->second.latency });
     }
     return result;
 }
@@ -190,7 +203,7 @@
         window.unscored = false;
         const auto age = now - (m_start + m_settings.window * key.index);
         windows.push_back({ m_self, m_targets[key.target].id, key.kind, key.index,
-            std::max(Duration(0), std::chrono::duration_cast<Duration>(age)), window.counts });
+            std::max(Duration(0), std::chrono::duration_cast<Duration>(age)), window.counts, window.latency });
     }
     m_own.merge(windows, now);
     dropOldWindows(now);
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -12,6 +12,9 @@
 
     constexpr std::uint32_t maxCount = 100'000'000; // Attempts of one reporter within one window.
     constexpr std::size_t maxReporters = 5000;
+    constexpr double latencyScale = 100; // Steps of 1 % are finer than any limit needs.
+    constexpr std::uint32_t maxLatencyMean = 3000; // More than any latency that a duration can hold.
+    constexpr std::uint64_t maxSlowLimitUs = 4'000'000'000; // More than an hour.
 
     std::uint32_t toMilliseconds(health::Duration age)
     {
@@ -58,6 +61,8 @@
     {
         out.set_sequence(pooled.sequence);
         out.set_age_ms(toMilliseconds(age));
+        for (const auto& it : pooled.slowLimits)
+            out.add_slow_limit_us(static_cast<std::uint64_t>(std::max<health::Duration::rep>(0, it.count())));
         for (const auto& it : pooled.ignored)
             out.add_ignored(table.indexOf(it));
         for (const auto& it : pooled.scores) {
@@ -75,6 +80,15 @@
         }
     }
 
+    void fillLatency(proto::Window& out, const health::LatencyMoments& latency)
+    {
+        if (latency.count < 1)
+            return;
+        out.set_latency_count(static_cast<std::uint32_t>(std::lround(latency.count)));
+        out.set_latency_mean(static_cast<std::uint32_t>(std::lround(std::max(0.0, latency.mean()) * latencyScale)));
+        out.set_latency_deviation(static_cast<std::uint32_t>(std::lround(latency.deviation() * latencyScale)));
+    }
+
     void fillService(proto::ServiceReport& out, const ServiceReport& service, ReporterTable& table)
     {
         out.set_service(service.service);
@@ -88,6 +102,7 @@
             window.set_good(it.counts.good);
             window.set_slow(it.counts.slow);
             window.set_bad(it.counts.bad);
+            fillLatency(window, it.latency);
         }
         if (service.pooled)
             fillPooled(*out.mutable_pooled(), *service.pooled, service.pooledAge, table);
@@ -177,6 +192,19 @@
             return { good, slow, bad };
         }
 
+        health::LatencyMoments latency(const proto::Window& window)
+        {
+            check(window.latency_count() <= maxCount && window.latency_mean() <= maxLatencyMean
+                    && window.latency_deviation() <= maxCount,
+                "a latency is out of bounds");
+            health::LatencyMoments result;
+            result.count = window.latency_count();
+            const double mean = window.latency_mean() / latencyScale;
+            result.sum = mean * result.count;
+            result.squares = window.latency_deviation() / latencyScale + mean * result.sum;
+            return result;
+        }
+
         health::Reporter reporter(std::uint32_t index)
         {
             check(index < m_reporters.size(), "unknown reporter index");
@@ -196,6 +224,13 @@
             result.sequence = pooled.sequence();
             for (const auto it : pooled.ignored())
                 result.ignored.push_back(reporter(it));
+            check(static_cast<std::size_t>(pooled.slow_limit_us_size()) <= config::requestKindCount,
+                "too many slow limits");
+            for (int i = 0; m_error.empty() && i < pooled.slow_limit_us_size(); ++i) {
+                check(pooled.slow_limit_us(i) <= maxSlowLimitUs, "a slow limit is out of bounds");
+                result.slowLimits[static_cast<std::size_t>(i)]
+                    = health::Duration(static_cast<health::Duration::rep>(pooled.slow_limit_us(i)));
+            }
             for (const auto& it : pooled.scores()) {
                 result.scores.push_back({ name(it.target()), kind(it.kind()), score(it.score()), score(it.baseline()),
                     it.reporters(), counts(it.good(), it.slow(), it.bad()), it.path_zone(), score(it.path_score()) });
@@ -214,7 +249,7 @@
                 return result;
             for (const auto& it : service.windows()) {
                 result.windows.push_back({ reporter(it.reporter()), name(it.target()), kind(it.kind()), it.window(),
-                    age(it.age_ms()), counts(it.good(), it.slow(), it.bad()) });
+                    age(it.age_ms()), counts(it.good(), it.slow(), it.bad()), latency(it) });
             }
             if (service.has_pooled()) {
                 result.pooled = readPooled(service.pooled(), sender);
--- a/tests/core/evidence_pool_test.cpp
+++ b/tests/core/evidence_pool_test.cpp
@@ -32,7 +32,7 @@
 health::EvidenceWindow window(
     unsigned from, const std::string& target, std::uint64_t index, health::Duration age, health::Counts counts)
 {
-    return { reporter(from), target, config::RequestKind::Idempotent, index, age, counts };
+    return { reporter(from), target, config::RequestKind::Idempotent, index, age, counts, {} };
 }
 
 health::PooledScore scoreOf(const health::PooledScores& scores, const std::string& target)
--- a/tests/io/wire_test.cpp
+++ b/tests/io/wire_test.cpp
@@ -5,6 +5,7 @@
 #include <buckthorncroft/wire/codec.h>
 #include <buckthorncroft/wire/inner_client.h>
 #include <buckthorncroft/wire/inner_server.h>
+#include <cmath>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
@@ -24,12 +25,13 @@
     const health::Reporter self { "e1", "z1", 42 };
     wire::ServiceReport service;
     service.service = "bookdesk";
-    service.windows.push_back({ self, "b1", config::RequestKind::NonIdempotent, 17, 250ms, { 3, 1, 2 } });
-    service.windows.push_back({ { "e2", "z1", 43 }, "b2", config::RequestKind::Idempotent, 18, 750ms, { 5, 0, 0 } });
+    service.windows.push_back({ self, "b1", config::RequestKind::NonIdempotent, 17, 250ms, { 3, 1, 2 }, { 4, 44, 485 } });
+    service.windows.push_back({ { "e2", "z1", 43 }, "b2", config::RequestKind::Idempotent, 18, 750ms, { 5, 0, 0 }, {} });
     service.pooled.emplace();
     service.pooled->coordinator = self;
     service.pooled->sequence = 5;
     service.pooled->scores.push_back({ "b1", config::RequestKind::Upload, 7.5, 0.25, 4, { 1, 2, 3 }, "z2", 1.5 });
+    service.pooled->slowLimits = { 150ms, 0ms, 2s };
     service.pooledAge = 120ms;
     service.ejected.emplace();
     service.ejected->push_back({ "b1", 12.5 });
@@ -114,6 +116,9 @@
     const auto& service = decoded.value().services.at(0);
     BOOST_TEST(service.windows.at(1).reporter.instance == "e2");
     BOOST_TEST(service.windows.at(0).counts.bad == 2u);
+    BOOST_TEST(std::abs(service.windows.at(0).latency.mean() - 11) < 0.01);
+    BOOST_TEST(std::abs(service.windows.at(0).latency.deviation() - 1) < 0.01);
+    BOOST_TEST((service.pooled->slowLimits.at(2) == 2s));
     BOOST_TEST(service.pooled->scores.at(0).pathZone == "z2");
     BOOST_TEST(service.ejected->at(0).score == 12.5);
     BOOST_TEST((decoded.value().peers.at(0).age == 300ms));
