--- a/tests/support/instance.cpp
+++ b/tests/support/instance.cpp
@@ -276,13 +276,15 @@
     attempt->job = std::make_shared<Job>();
     attempt->job->kind = request->kind;
     attempt->job->executions = request->executions;
-    attempt->job->reply = [this, request, weak = std::weak_ptr(attempt), &fake](Answer answer) {
-        const auto answered = weak.lock();
-        if (!answered)
-            return;
-        if (const auto back = m_world.links.delay(fake.place, place))
-            m_world.loop.after(*back, [this, request, answered, answer] { received(request, answered, answer); });
-    };
+    // The timeout of the attempt keeps both alive; owning them here would make a cycle.
+    attempt->job->reply
+        = [this, weakRequest = std::weak_ptr(request), weakAttempt = std::weak_ptr(attempt), &fake](Answer answer) {
+              const auto owner = weakRequest.lock();
+              const auto answered = weakAttempt.lock();
+              const auto back = m_world.links.delay(fake.place, place);
+              if (owner && answered && back)
+                  m_world.loop.after(*back, [this, owner, answered, answer] { received(owner, answered, answer); });
+          };
     m_world.loop.after(*delay, [this, request, attempt, &fake] {
         --m_world.underWay[request->service][attempt->target];
         if (fake.up && !attempt->job->cancelled)
