--- a/src/daemon/cli_change.cpp
+++ b/src/daemon/cli_change.cpp
@@ -106,8 +106,8 @@
 
 } // namespace
 
-// A generated file has version 0 in each service: the operator then edits what is current. A file with versions, as
-// `history` prints them, is refused when somebody else was faster.
+// A generated file has version 0 in each service. That is right for a new service; over an existing one it would undo
+// changes that its author never saw, so the operator must ask for it. `show` prints a record with its version.
 int runSubmit(const CliCommand& command)
 {
     base::Findings findings;
@@ -125,8 +125,23 @@
     int worst = CliOk;
     for (const auto& service : parsed.configuration.services) {
         const auto current = currentVersion(stored.value().configuration, service.name);
+        each.operationId = parsed.configuration.services.size() == 1 ? command.operationId
+                                                                     : command.operationId + "." + service.name;
+        if (command.operationGiven) {
+            // A repeated submit has another base than the first; what became of the first decides.
+            const auto earlier = store.store.operation(each.operationId, command.timeout);
+            if (earlier && earlier.value().state == platform::OperationState::Accepted) {
+                worst = std::max(worst, finish(each, service.name, earlier.value().acceptance));
+                continue;
+            }
+        }
+        if (!service.version && current && !command.replace) {
+            fmt::print(stderr, "{}: exists as version {}; edit the output of show, or give --replace\n", service.name,
+                current);
+            worst = std::max<int>(worst, CliRefused);
+            continue;
+        }
         const auto base = service.version ? service.version : current;
-        each.operationId = command.operationId + "." + service.name;
         worst = std::max(
             worst, finish(each, service.name, store.store.submit(submissionOf(each, service, base), command.timeout)));
     }
@@ -154,6 +169,22 @@
     return CliRefused;
 }
 
+int runShow(const CliCommand& command)
+{
+    Store store(command);
+    const auto stored = store.store.readAll(command.timeout);
+    if (!stored)
+        return reportError("read the current configuration", stored.error());
+    for (const auto& it : stored.value().configuration.services) {
+        if (it.name != command.arguments.at(0))
+            continue;
+        fmt::print("{}", config::formatService(it));
+        return CliOk;
+    }
+    fmt::print(stderr, "there is no service {}\n", command.arguments.at(0));
+    return CliRefused;
+}
+
 int runHistory(const CliCommand& command)
 {
     Store store(command);
@@ -227,7 +258,7 @@
         return CliOk;
     case platform::OperationState::Refused:
         fmt::print("operation {}: refused; it changed nothing\n", id);
-        return CliRefused;
+        return cancel ? CliOk : CliRefused;
     case platform::OperationState::NotKnown:
         break;
     }
--- a/src/daemon/cli_command.h
+++ b/src/daemon/cli_command.h
@@ -21,6 +21,8 @@
     std::string operationId; ///< Made up when the operator gives none.
     std::chrono::milliseconds timeout { 10'000 };
     bool json = false;
+    bool replace = false; ///< Take the current version as the base of a file without versions.
+    bool operationGiven = false; ///< The operator gave `operationId`, perhaps to repeat a submit.
     bool wait = false; ///< Wait until the change is in force on every endpoint of `operators`.
 };
 
@@ -49,6 +51,7 @@
 // Commands that use the platform's table.
 int runSubmit(const CliCommand& command);
 int runDrain(const CliCommand& command, bool draining);
+int runShow(const CliCommand& command);
 int runHistory(const CliCommand& command);
 int runDiff(const CliCommand& command);
 int runRollback(const CliCommand& command);
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -67,7 +67,7 @@
         m_server = std::move(server).value();
         addFirstPeers();
         if (bootstrap.change)
-            apply(bootstrap, "file");
+            apply(bootstrap, "file", !m_parts.platform.store);
         publish();
         const auto& self = m_state.members().self();
         const platform::ListedInstance listed { self.instance, self.zone, self.address, false };
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -17,6 +17,7 @@
 #include <buckthorncroft/platform/http_platform.h>
 #include <buckthorncroft/platform/table_claim_service.h>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
@@ -76,6 +77,8 @@
             auto configuration = config::parseConfiguration(document, name);
             result.configuration = std::move(configuration.configuration);
             fileFindings = std::move(configuration.findings);
+            if (!result.configuration.change)
+                fileFindings.push_back({ name, 0, "change", "is 0 or missing", "set it to 1 or more" });
         }
         result.findings.insert(result.findings.end(), fileFindings.begin(), fileFindings.end());
         return result;
@@ -149,7 +152,12 @@
             m_operators.add("/ready", [this] { return readiness(); });
             m_operators.add("/metrics", [this] { return metricsAnswer(); });
             m_operators.add("/status", [this] { return statusAnswer(); });
-            auto control = ControlPlane::start(controlParts(), m_files.configuration);
+            auto bootstrap = m_files.configuration;
+            // The platform's table outranks a file, so that a file with a high change number cannot hide accepted
+            // changes.
+            if (m_platform && bootstrap.change)
+                bootstrap.change = 1;
+            auto control = ControlPlane::start(controlParts(), bootstrap);
             if (!control)
                 return fail(control.error());
             m_control = std::move(control).value();
@@ -161,7 +169,10 @@
                 { { "version", versionText() }, { "callers_port", std::to_string(m_traffic.port()) } });
             waitForSignal();
             stop();
-            return ExitOk;
+            // All requests have ended and the platform knows. The process ends here, because the operators' endpoint
+            // did not end its threads after a failed TLS handshake and a stop must not hang on it.
+            std::fflush(nullptr);
+            ::_exit(ExitOk);
         }
 
     private:
@@ -216,8 +227,8 @@
 
         OperatorsAnswer statusAnswer()
         {
-            if (!m_control)
-                return { 503, "text/plain", "starting\n" };
+            if (!m_control || m_stopping)
+                return { 503, "text/plain", "starting or stopping\n" };
             return { 200, "application/json", m_control->status() };
         }
 
@@ -260,6 +271,7 @@
             m_traffic.announceStop();
             std::this_thread::sleep_for(m_files.settings.balancerLag);
             m_traffic.finish();
+            m_control.reset(); // Sends the last heartbeat, which says that this instance leaves.
             m_mainLoop.stop();
             second.join();
             m_log.write(observe::Level::Info, "stopped", {});
--- a/src/daemon/operator_cli.cpp
+++ b/src/daemon/operator_cli.cpp
@@ -34,6 +34,7 @@
   submit FILE               submit each service of a configuration (--operator, --reason)
   drain SERVICE TARGET      stop new work for a target (--operator, --reason)
   undrain SERVICE TARGET    allow new work again (--operator, --reason)
+  show SERVICE              print the record in force with its version, to edit and submit
   history SERVICE           accepted versions: when, who and why
   diff SERVICE FROM TO      difference between two versions
   rollback SERVICE VERSION  submit the content of an old version as a new one (--operator, --reason)
@@ -75,6 +76,7 @@
             { "drain", { 2, 2, false, true, true, [](const CliCommand& it) { return detail::runDrain(it, true); } } },
             { "undrain",
                 { 2, 2, false, true, true, [](const CliCommand& it) { return detail::runDrain(it, false); } } },
+            { "show", { 1, 1, false, true, false, detail::runShow } },
             { "history", { 1, 1, false, true, false, detail::runHistory } },
             { "diff", { 3, 3, false, true, false, detail::runDiff } },
             { "rollback", { 2, 2, false, true, true, detail::runRollback } },
@@ -126,6 +128,7 @@
             "operation id; give the same again to repeat a submit whose answer was lost")(
             "timeout-ms", po::value(&options.timeoutMs), "longest wait, default 10000")(
             "wait", po::bool_switch(&command.wait), "wait until the change is in force on all --operators endpoints")(
+            "replace", po::bool_switch(&command.replace), "let a file without versions replace existing services")(
             "json", po::bool_switch(&command.json), "print JSON for programs")(
             "certificate", po::value(&command.tls.certificate), "PEM file of the own certificate")(
             "key", po::value(&command.tls.privateKey), "PEM file of the own private key")(
@@ -178,6 +181,7 @@
         command.name = options.words.front();
         command.arguments.assign(options.words.begin() + 1, options.words.end());
         command.timeout = std::chrono::milliseconds(options.timeoutMs);
+        command.operationGiven = !command.operationId.empty();
         if (command.operationId.empty())
             command.operationId = newOperationId();
         const auto entry = commands().find(command.name);
--- a/src/daemon/operators_client.cpp
+++ b/src/daemon/operators_client.cpp
@@ -26,7 +26,6 @@
             : m_endpoint(endpoint)
             , m_tls(tls)
             , m_context(ssl::context::tls_client)
-            , m_stream(m_io, m_context)
             , m_request(http::verb::get, path, 11)
         {
             m_request.set(http::field::host, endpoint.host);
@@ -42,6 +41,8 @@
                 return base::Error { base::ErrorCode::InvalidArgument, m_endpoint.host + " is not an IP number" };
             if (!m_tls.plaintext && !loadFiles(ec))
                 return base::Error { base::ErrorCode::InvalidArgument, "certificate files: " + ec.message() };
+            // A stream copies the context's settings when it is made, so the files must be loaded before.
+            m_stream.emplace(m_io, m_context);
             lowest().expires_after(timeout);
             lowest().async_connect({ address, m_endpoint.port }, [this](ErrorCode error) { connected(error); });
             m_io.run();
@@ -49,7 +50,7 @@
         }
 
     private:
-        beast::tcp_stream& lowest() { return beast::get_lowest_layer(m_stream); }
+        beast::tcp_stream& lowest() { return beast::get_lowest_layer(*m_stream); }
 
         bool loadFiles(ErrorCode& ec)
         {
@@ -68,7 +69,7 @@
                 return;
             if (m_tls.plaintext)
                 return send();
-            m_stream.async_handshake(ssl::stream_base::client, [this](ErrorCode error) {
+            m_stream->async_handshake(ssl::stream_base::client, [this](ErrorCode error) {
                 if (!fails(error))
                     send();
             });
@@ -83,7 +84,7 @@
             if (m_tls.plaintext)
                 http::async_write(lowest(), m_request, written);
             else
-                http::async_write(m_stream, m_request, written);
+                http::async_write(*m_stream, m_request, written);
         }
 
         void receive()
@@ -92,7 +93,7 @@
             if (m_tls.plaintext)
                 http::async_read(lowest(), m_buffer, m_parser, read);
             else
-                http::async_read(m_stream, m_buffer, m_parser, read);
+                http::async_read(*m_stream, m_buffer, m_parser, read);
         }
 
         bool fails(ErrorCode ec)
@@ -119,7 +120,7 @@
         const TlsFiles& m_tls;
         boost::asio::io_context m_io;
         ssl::context m_context;
-        beast::ssl_stream<beast::tcp_stream> m_stream;
+        std::optional<beast::ssl_stream<beast::tcp_stream>> m_stream;
         http::request<http::empty_body> m_request;
         beast::flat_buffer m_buffer;
         http::response_parser<http::string_body> m_parser;
--- a/tests/io/attempts_test.cpp
+++ b/tests/io/attempts_test.cpp
@@ -267,6 +267,7 @@
     fixture.start();
     std::vector<std::thread> callers;
     std::atomic<unsigned> good { 0 };
+    callers.reserve(20);
     for (int i = 0; i < 20; ++i)
         callers.emplace_back([&] { good += statusOf(fixture.call("POST", "/book")) == "200"; });
     for (auto& it : callers)
--- a/tests/io/daemon_state_test.cpp
+++ b/tests/io/daemon_state_test.cpp
@@ -14,6 +14,7 @@
     daemon::ObservationQueue queue(100);
     const auto service = std::make_shared<const config::Service>();
     std::vector<std::thread> producers;
+    producers.reserve(4);
     for (int i = 0; i < 4; ++i) {
         producers.emplace_back([&] {
             for (std::size_t n = 0; n < 1000; ++n) {
--- a/tests/io/wire_test.cpp
+++ b/tests/io/wire_test.cpp
@@ -25,8 +25,10 @@
     const health::Reporter self { "e1", "z1", 42 };
     wire::ServiceReport service;
     service.service = "bookdesk";
-    service.windows.push_back({ self, "b1", config::RequestKind::NonIdempotent, 17, 250ms, { 3, 1, 2 }, { 4, 44, 485 } });
-    service.windows.push_back({ { "e2", "z1", 43 }, "b2", config::RequestKind::Idempotent, 18, 750ms, { 5, 0, 0 }, {} });
+    service.windows.push_back(
+        { self, "b1", config::RequestKind::NonIdempotent, 17, 250ms, { 3, 1, 2 }, { 4, 44, 485 } });
+    service.windows.push_back(
+        { { "e2", "z1", 43 }, "b2", config::RequestKind::Idempotent, 18, 750ms, { 5, 0, 0 }, {} });
     service.pooled.emplace();
     service.pooled->coordinator = self;
     service.pooled->sequence = 5;
