--- a/tests/io/target_answers_test.cpp
+++ b/tests/io/target_answers_test.cpp
@@ -72,10 +72,10 @@
     const std::string piece(300'000, 'x');
     for (const std::string framing :
         { "Content-Length: 400000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n493e0\r\n" }) {
-        std::string answer = "HTTP/1.1 200 OK\r\n";
-        answer += framing;
-        answer += piece;
-        FixedAnswer fixture(answer, true);
+        std::string bytes = "HTTP/1.1 200 OK\r\n";
+        bytes += framing;
+        bytes += piece;
+        FixedAnswer fixture(bytes, true);
         const auto caller = fixture.caller();
         caller->send("GET / HTTP/1.1\r\nHost: s\r\n\r\n");
         const auto answer = caller->readAll();
