Share the frame of the routers and the reading of files

Cause: the read-through showed the same choice written in both routers, and reading a whole file written twice. Change: a common base of the routers runs trials and fallbacks and leaves the pick to the policy; the daemon uses the client's function that reads a file.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include <buckthorncroft/daemon/entry_daemon.h>
 
 #include "../http/asio.h"
+#include "cli_command.h"
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
@@ -50,19 +51,10 @@
         base::Findings findings;
     };
 
-    std::string readFile(const std::string& name, base::Findings& findings)
-    {
-        std::ifstream file(name, std::ios::binary);
-        std::string text { std::istreambuf_iterator<char>(file), {} };
-        if (!file)
-            findings.push_back({ name, 0, "", "cannot be read", "check the name and the permissions" });
-        return text;
-    }
-
     LoadedFiles loadFiles(const std::string& settingsFile)
     {
         LoadedFiles result;
-        const auto text = readFile(settingsFile, result.findings);
+        const auto text = detail::readWholeFile(settingsFile, result.findings);
         if (!result.findings.empty())
             return result;
         auto parsed = parseSettings(text, settingsFile);
@@ -72,7 +64,7 @@
         if (name.empty())
             return result;
         base::Findings fileFindings;
-        const auto document = readFile(name, fileFindings);
+        const auto document = detail::readWholeFile(name, fileFindings);
         if (fileFindings.empty()) {
             auto configuration = config::parseConfiguration(document, name);
             result.configuration = std::move(configuration.configuration);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -31,48 +31,52 @@
         return result;
     }
 
-    class RandomRouter final : public Router {
+    /// What all routers share: trials first, then one of the candidates, which the policy picks.
+    class CandidateRouter : public Router {
     public:
         Decision choose(const PlacementRequest& request, const config::Service& service,
             std::span<const health::TargetView> health, std::span<const TargetLoad> load,
-            std::mt19937_64& random) const override
+            std::mt19937_64& random) const final
         {
             auto candidates = detail::findCandidates(request, service, health, load);
             if (const auto trial = detail::chooseTrial(request, service, health, load, random))
                 return makeDecision(*trial, true, std::move(candidates.rejections), Rejection::NotSampled);
             if (candidates.targets.empty())
                 return { std::nullopt, false, std::move(candidates.rejections) };
-            const auto chosen = detail::drawByWeight(candidates.targets, health, request.kind, random);
+            const auto chosen = pick(candidates, request.kind, service, health, load, random);
             return makeDecision(chosen, health[chosen].stage == health::Stage::Trial, std::move(candidates.rejections),
                 Rejection::NotSampled);
         }
+
+    private:
+        /// Returns one of `candidates.targets`, which are not empty; may mark why others lost.
+        virtual std::size_t pick(detail::Candidates& candidates, config::RequestKind kind,
+            const config::Service& service, std::span<const health::TargetView> health,
+            std::span<const TargetLoad> load, std::mt19937_64& random) const = 0;
     };
 
-    class TwoChoicesRouter final : public Router {
-    public:
-        explicit TwoChoicesRouter(std::string ownZone)
-            : m_ownZone(std::move(ownZone))
+    class RandomRouter final : public CandidateRouter {
+    private:
+        std::size_t pick(detail::Candidates& candidates, config::RequestKind kind, const config::Service& /*service*/,
+            std::span<const health::TargetView> health, std::span<const TargetLoad> /*load*/,
+            std::mt19937_64& random) const override
         {
+            return detail::drawByWeight(candidates.targets, health, kind, random);
         }
+    };
 
-        Decision choose(const PlacementRequest& request, const config::Service& service,
-            std::span<const health::TargetView> health, std::span<const TargetLoad> load,
-            std::mt19937_64& random) const override
+    class TwoChoicesRouter final : public CandidateRouter {
+    public:
+        explicit TwoChoicesRouter(std::string ownZone)
+            : m_ownZone(std::move(ownZone))
         {
-            auto candidates = detail::findCandidates(request, service, health, load);
-            if (const auto trial = detail::chooseTrial(request, service, health, load, random))
-                return makeDecision(*trial, true, std::move(candidates.rejections), Rejection::NotSampled);
-            if (candidates.targets.empty())
-                return { std::nullopt, false, std::move(candidates.rejections) };
-            const auto chosen = compare(candidates, request.kind, service, health, load, random);
-            return makeDecision(chosen, health[chosen].stage == health::Stage::Trial, std::move(candidates.rejections),
-                Rejection::NotSampled);
         }
 
     private:
         /// Splits the candidates by zone, draws two, and marks the losers. Returns the winner.
-        std::size_t compare(detail::Candidates& candidates, config::RequestKind kind, const config::Service& service,
-            std::span<const health::TargetView> health, std::span<const TargetLoad> load, std::mt19937_64& random) const
+        std::size_t pick(detail::Candidates& candidates, config::RequestKind kind, const config::Service& service,
+            std::span<const health::TargetView> health, std::span<const TargetLoad> load,
+            std::mt19937_64& random) const override
         {
             std::vector<std::size_t> own;
             std::vector<std::size_t> other;
