--- a/include/buckthorncroft/membership/target_directory.h
+++ b/include/buckthorncroft/membership/target_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <buckthorncroft/base/clock.h>
+#include <buckthorncroft/membership/target_record.h>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -10,20 +11,6 @@
 
 namespace buckthorncroft::membership {
 
-/// An entry that a target publishes about itself in the registry.
-struct TargetRecord {
-    std::string id;
-    std::string service;
-    std::string host; ///< IP address.
-    std::uint16_t port = 0;
-    std::string zone; ///< Availability zone.
-    unsigned slots = 1; ///< Requests that the target runs at the same time.
-    bool draining = false; ///< The target leaves and accepts no new requests.
-    std::chrono::milliseconds coldRemaining { 0 }; ///< Remaining time in which the target is slow after its start.
-    std::uint64_t sequence = 0; ///< Increased by the target with each heartbeat of one lifetime.
-    std::int64_t startedAtUnixMs = 0; ///< Start of the lifetime, in milliseconds of Unix time.
-};
-
 /// A target's record with the times at which this instance observed it.
 struct DirectoryEntry {
     TargetRecord record;
@@ -40,6 +27,12 @@
     const DirectoryEntry* find(const std::string& service, const std::string& id) const;
 };
 
+/// A lifetime of a target that announced that it leaves.
+struct LeavingTarget {
+    std::string id;
+    std::int64_t startedAtUnixMs = 0; ///< Start of the lifetime.
+};
+
 /// The targets that the registry lists. Performs no I/O: the owner passes in records and times, and reads sets of
 /// targets. Not safe for concurrent use.
 ///
@@ -65,6 +58,18 @@
     /// Removes the targets whose delayed removal is due, and returns their ids.
     std::vector<std::string> applyDueRemovals(base::SteadyTime now);
 
+    /// Records that a target announced in a response that it leaves. It stays draining for the rest of its lifetime,
+    /// whatever the registry lists. An announcement of an earlier lifetime is ignored. Returns whether anything changed
+    /// that affects routing.
+    bool markLeaving(const LeavingTarget& target, base::SteadyTime now);
+
+    /// Returns the targets that `markLeaving` recorded in the last `leavingTtl`.
+    std::vector<LeavingTarget> leavingTargets(base::SteadyTime now);
+
+    /// How long the announcement of a leaving target is kept. Longer than a target serves after it, and than its entry
+    /// can remain in the registry.
+    static constexpr std::chrono::minutes leavingTtl { 10 };
+
     /// Returns the current set. The same object is returned until something changes.
     std::shared_ptr<const TargetSet> targets() const { return m_targets; }
 
@@ -74,13 +79,21 @@
         std::uint64_t sequence = 0; ///< Latest number; kept here because published sets are immutable.
     };
 
+    struct Announcement {
+        std::int64_t startedAtUnixMs = 0; ///< Start of the lifetime that leaves.
+        base::SteadyTime announcedAt;
+    };
+
     const DirectoryEntry* find(const std::string& id) const;
+    bool hasAnnouncedLeaving(const TargetRecord& record) const;
+    void forgetOldAnnouncements(base::SteadyTime now);
     bool erase(const std::string& id);
     TargetSet& copyForUpdate();
 
     std::shared_ptr<TargetSet> m_targets = std::make_shared<TargetSet>();
     std::map<std::string, KnownTarget> m_knownTargets; ///< By target id.
     std::map<std::string, base::SteadyTime> m_pendingRemovals; ///< Delayed removals: when each was read, by target id.
+    std::map<std::string, Announcement> m_leaving; ///< Targets that announced that they leave, by id.
     base::SteadyTime m_lastFailedReadAt {};
 };
 
--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -74,6 +74,10 @@
     health::Verdict verdict = health::Verdict::Good;
     std::chrono::microseconds latency { 0 };
     bool overdue = false; ///< The attempt is still running and keeps its slot; the verdict and latency are not used.
+    bool targetLeaving = false; ///< The target announced in its response that it leaves.
+    std::int64_t targetStartedAtUnixMs = 0; ///< Lifetime of the target to which `targetLeaving` applies.
+    /// Time for which the target refuses requests of `instance`, from its Retry-After; 0 if it named none.
+    std::chrono::milliseconds retryAfter { 0 };
 };
 
 /// Failure probability of one target, sent to the dispatch points that may succeed this one.
@@ -185,6 +189,8 @@
         std::vector<Slot> slots;
         std::chrono::duration<double> latency { 0 }; ///< Smoothed; 0 when unknown.
         base::SteadyTime saturatedUntil {}; ///< The target shed a request and receives none before this time.
+        std::string pausedInstance; ///< Instance that the target last asked to pause.
+        base::SteadyTime pausedUntil {}; ///< End of that pause.
         base::SteadyTime lastGrantAt {};
         bool hasHadRequest = false;
     };
@@ -224,6 +230,9 @@
     bool isNew(const Target& target, base::SteadyTime now) const;
     std::chrono::milliseconds maxIdleTimeFor(const Target& target) const;
     void updateCoverage(base::SteadyTime now);
+    void recordShed(Target& target, const DispatchOutcome& outcome, base::SteadyTime now);
+    std::optional<base::SteadyTime> earliestEndOfPauses(const DispatchRequest& request) const;
+    void releaseGrants(const Target& target);
     void updateUnknownRisk(const Slot& slot, health::Verdict verdict);
     double usableSlots(base::SteadyTime now) const;
     double grantRate(base::SteadyTime now) const;
--- a/scripts/generate-protocol.sh
+++ b/scripts/generate-protocol.sh
@@ -3,4 +3,5 @@
 # Requires protobuf-compiler and protobuf-compiler-grpc.
 set -euo pipefail
 cd "$(dirname "$0")/../proto"
-protoc --cpp_out=. --grpc_out=. --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" buckthorncroft/wire/exchange.proto buckthorncroft/wire/placement.proto
+protoc --cpp_out=. --grpc_out=. --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" buckthorncroft/wire/exchange.proto
+protoc --cpp_out=. buckthorncroft/wire/placement.proto
--- a/src/gateway/gateway_control.cpp
+++ b/src/gateway/gateway_control.cpp
@@ -1,5 +1,7 @@
 #include "gateway_control.h"
 
+#include "event_loop.h"
+
 #include <ctime>
 #include <random>
 
@@ -32,8 +34,8 @@
 } // namespace
 
 GatewayControl::GatewayControl(const GatewaySettings& settings, const Deployment& deployment, const base::Clock& clock,
-    const observe::Logger& log, GatewaySnapshotHolder& snapshots, http::asio::io_context& traffic,
-    std::function<void()> onResume)
+    const observe::Logger& log, observe::Metrics& metrics, GatewaySnapshotHolder& snapshots,
+    http::asio::io_context& traffic, std::function<void()> onResume)
     : m_settings(settings)
     , m_clock(clock)
     , m_log(log)
@@ -47,7 +49,7 @@
     , m_placement(settings, clock, m_peers, log, randomNumber())
     , m_relay(clock, m_peers)
     , m_registry(deployment.makeRegistry(m_io, clock, settings.registry))
-    , m_watcher(m_io, clock, *m_registry, log, m_relay,
+    , m_watcher(m_io, clock, *m_registry, log, metrics, m_relay,
           { settings.instance, settings.zone, settings.peers.host, settings.peers.port, settings.capacity },
           makeWatcherHandlers())
     , m_suspendedTime(suspendedTime())
@@ -88,12 +90,17 @@
     m_channel.startReceiving([this](const wire::proto::PeerDatagram& datagram, const udp::endpoint& from) {
         handleDatagram(datagram, from);
     });
+    m_peers.setLeavingTargetsSource([this] { return m_watcher.leavingTargets(); });
+    m_placement.onTargetLeaving([this](const membership::LeavingTarget& target, bool isPointHere) {
+        if (m_watcher.markLeaving(target) && isPointHere)
+            m_relay.sendLeaving(target);
+    });
     m_peers.onPeerRouteVersion([this](std::uint64_t) { m_watcher.refresh(); });
     m_watcher.start();
     for (const auto& it : m_settings.seeds)
         m_peers.contact(it);
     scheduleTick();
-    m_thread = std::thread([this] { m_io.run(); });
+    m_thread = std::thread([this] { runEventLoop(m_io, m_log, "control"); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -103,6 +110,10 @@
         return;
     if (const auto delta = m_relay.handle(datagram))
         m_watcher.applyDelta(*delta);
+    for (const auto& it : datagram.leaving()) {
+        if (membership::isValidName(it.id()))
+            m_watcher.markLeaving({ it.id(), it.born() });
+    }
     m_placement.handle(datagram);
 }
 
@@ -124,8 +135,8 @@
     m_timer.async_wait([this](http::error_code ec) {
         if (ec)
             return;
-        tick();
         scheduleTick();
+        tick();
     });
 }
 
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -20,8 +20,8 @@
     /// Posts results to `traffic`, the context of the traffic thread. Calls `onResume` on that thread after the machine
     /// was suspended. The references must outlive this object.
     GatewayControl(const GatewaySettings& settings, const Deployment& deployment, const base::Clock& clock,
-        const observe::Logger& log, GatewaySnapshotHolder& snapshots, http::asio::io_context& traffic,
-        std::function<void()> onResume);
+        const observe::Logger& log, observe::Metrics& metrics, GatewaySnapshotHolder& snapshots,
+        http::asio::io_context& traffic, std::function<void()> onResume);
     ~GatewayControl() override;
 
     /// Binds the UDP address for datagrams of other instances and starts the thread. Errors: `Unavailable`.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "../daemon/files.h"
 #include "deployment.h"
+#include "event_loop.h"
 #include "gateway_control.h"
 #include "gateway_traffic.h"
 #include "ready_endpoint.h"
@@ -53,7 +54,7 @@
             , m_settingsFile(std::move(settingsFile))
             , m_log(m_clock, m_settings.instance, m_settings.zone, toLogLevel(m_settings.logLevel), m_lines)
             , m_memory(static_cast<std::size_t>(m_settings.memoryBudget))
-            , m_control(m_settings, deployment, m_clock, m_log, m_snapshots, m_io,
+            , m_control(m_settings, deployment, m_clock, m_log, m_metrics, m_snapshots, m_io,
                   [this] { m_traffic.closeIdleTargetConnections(); })
             , m_context { m_io, m_clock, m_headers, m_snapshots, m_control, m_log, m_metrics, m_memory,
                 ConnectionPool(m_clock), std::mt19937_64(std::random_device {}()) }
@@ -77,7 +78,7 @@
                 m_io, [this] { return reportDroppedLines(); }, http::asio::detached);
             awaitSignal();
             m_log.write(observe::Level::Info, "started", { { "callers", toString(m_settings.callers) } });
-            m_io.run();
+            runEventLoop(m_io, m_log, "traffic");
             m_control.stop();
             m_log.write(observe::Level::Info, "stopped", { { "active", std::to_string(m_context.activeRequests) } });
             // `_exit` runs no destructors; the kernel closes the connections that are still open.
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -12,6 +12,7 @@
     std::string signature = "Buckthorncroft-Signature"; ///< Set by a target to prove that a response is its own.
     std::string expectedTarget = "Buckthorncroft-Expected-Target"; ///< Id of the only target that may run the request.
     std::string notRun = "Buckthorncroft-Not-Run"; ///< Set by a target that did not run the request.
+    std::string leaving = "Buckthorncroft-Leaving"; ///< Set to 1 by a target that leaves and accepts no new requests.
     std::string readyPath = "/ready"; ///< Path of the readiness check.
 };
 
--- a/src/gateway/peer_channel.cpp
+++ b/src/gateway/peer_channel.cpp
@@ -37,15 +37,26 @@
     m_socket.async_receive_from(http::asio::buffer(m_buffer), m_sender, [this](http::error_code ec, std::size_t n) {
         if (ec == http::asio::error::operation_aborted || !m_socket.is_open())
             return;
-        wire::proto::PeerDatagram datagram;
-        if (!ec && datagram.ParseFromArray(m_buffer.data(), static_cast<int>(n)) && !datagram.sender().empty())
-            m_receiver(datagram, m_sender);
-        else if (!ec)
+        if (!ec && !deliver(n))
             ++m_malformedCount;
         receiveNext();
     });
 }
 
+bool PeerChannel::deliver(std::size_t size)
+{
+    wire::proto::PeerDatagram datagram;
+    if (!datagram.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || datagram.sender().empty())
+        return false;
+    try {
+        m_receiver(datagram, m_sender);
+        return true;
+    } catch (const std::exception&) {
+        // An exception here would end the loop that receives the datagrams of all instances.
+        return false;
+    }
+}
+
 void PeerChannel::send(const wire::proto::PeerDatagram& datagram, const udp::endpoint& to)
 {
     http::error_code ec;
--- a/src/gateway/peer_channel.h
+++ b/src/gateway/peer_channel.h
@@ -25,8 +25,8 @@
     /// Binds the socket to `address`. Errors: `Unavailable`.
     base::Result<void> open(const daemon::Endpoint& address);
 
-    /// Calls `receiver` with each datagram and its source address until `close`. Malformed datagrams are counted and
-    /// dropped.
+    /// Calls `receiver` with each datagram and its source address until `close`. Malformed datagrams, and those for
+    /// which `receiver` throws, are counted and dropped.
     void startReceiving(Receiver receiver);
 
     /// Sends without blocking. A datagram that cannot be sent is counted and dropped.
@@ -39,6 +39,7 @@
 
 private:
     void receiveNext();
+    bool deliver(std::size_t size);
 
     udp::socket m_socket;
     std::array<char, 65536> m_buffer;
--- a/src/gateway/peer_group.cpp
+++ b/src/gateway/peer_group.cpp
@@ -2,6 +2,16 @@
 
 namespace buckthorncroft::gateway {
 
+namespace {
+
+    // Bounds the size of a presence message.
+    constexpr int maxLeavingTargets = 256;
+
+    // Larger values are not plausible and would make an instance rank first.
+    constexpr float maxCapacity = 1024;
+
+} // namespace
+
 PeerGroup::PeerGroup(
     const GatewaySettings& settings, const base::Clock& clock, PeerChannel& channel, std::uint64_t incarnation)
     : m_settings(settings)
@@ -29,6 +39,15 @@
     it.set_capacity(static_cast<float>(m_settings.capacity));
     it.set_route_version(m_routeVersion);
     it.set_reply_wanted(replyWanted);
+    if (!m_leavingTargets)
+        return result;
+    for (const auto& target : m_leavingTargets()) {
+        if (result.leaving_size() >= maxLeavingTargets)
+            break;
+        auto& entry = *result.add_leaving();
+        entry.set_id(target.id);
+        entry.set_born(target.startedAtUnixMs);
+    }
     return result;
 }
 
@@ -76,13 +95,15 @@
 bool PeerGroup::handle(const wire::proto::PeerDatagram& datagram, const udp::endpoint& from)
 {
     const auto& sender = datagram.sender();
-    if (sender == m_settings.instance)
+    if (sender == m_settings.instance || !membership::isValidName(sender))
         return false;
     m_addresses[sender] = from;
     m_ranking.recordContact(sender, datagram.incarnation(), m_clock.now());
     if (datagram.has_presence()) {
         const auto& it = datagram.presence();
-        m_ranking.setCapacity(sender, it.capacity());
+        // The comparison is false for NaN.
+        if (it.capacity() >= 0 && it.capacity() <= maxCapacity)
+            m_ranking.setCapacity(sender, it.capacity());
         if (it.leaving())
             m_ranking.markLeaving(sender);
         if (it.reply_wanted())
--- a/src/gateway/peer_group.h
+++ b/src/gateway/peer_group.h
@@ -6,9 +6,11 @@
 #include <buckthorncroft/base/clock.h>
 #include <buckthorncroft/gateway/settings.h>
 #include <buckthorncroft/membership/peer_ranking.h>
+#include <buckthorncroft/membership/target_directory.h>
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace buckthorncroft::gateway {
 
@@ -34,10 +36,17 @@
     /// Sets the version of the routes in force, which the presence messages carry.
     void setRouteVersion(std::uint64_t version) { m_routeVersion = version; }
 
+    /// Sets the function that returns the leaving targets, which the presence messages carry.
+    void setLeavingTargetsSource(std::function<std::vector<membership::LeavingTarget>()> source)
+    {
+        m_leavingTargets = std::move(source);
+    }
+
     /// Sets the function to call when an instance announces a version of the routes newer than the local one.
     void onPeerRouteVersion(std::function<void(std::uint64_t)> handler) { m_onPeerRouteVersion = std::move(handler); }
 
-    /// Records the sender of a datagram and its presence. Returns false if this instance sent the datagram itself.
+    /// Records the sender of a datagram and its presence. Returns false if the datagram must be ignored because this
+    /// instance sent it itself or its sender's name is not valid.
     bool handle(const wire::proto::PeerDatagram& datagram, const udp::endpoint& from);
 
     /// Returns a datagram that contains only the sender fields of this instance.
@@ -60,6 +69,7 @@
     membership::PeerRanking m_ranking;
     std::map<std::string, udp::endpoint> m_addresses; ///< By instance.
     std::function<void(std::uint64_t)> m_onPeerRouteVersion;
+    std::function<std::vector<membership::LeavingTarget>()> m_leavingTargets;
     std::uint64_t m_routeVersion = 0;
     bool m_leaving = false;
 };
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -151,6 +151,8 @@
     outcome.instance = m_peers.self();
     if (!outcome.overdue)
         m_heldGrants[service].erase(outcome.grant);
+    if (outcome.targetLeaving)
+        notifyTargetLeaving(outcome, point == m_peers.self());
     const auto now = m_clock.now();
     const auto first = m_peers.ranking().first(service, now);
     // If another point ranks first by now, it receives the new requests and needs the outcome, too.
@@ -168,6 +170,12 @@
     }
 }
 
+void PlacementClient::notifyTargetLeaving(const routing::DispatchOutcome& outcome, bool isPointHere)
+{
+    if (m_onTargetLeaving)
+        m_onTargetLeaving({ outcome.target, outcome.targetStartedAtUnixMs }, isPointHere);
+}
+
 wire::proto::ServiceDatagram& PlacementClient::findOrAddPart(
     Outbox& outbox, const std::string& instance, const std::string& service)
 {
@@ -232,8 +240,12 @@
     if (part.requests().empty() && part.outcomes().empty() && part.risks().empty() && part.withdrawals().empty())
         return;
     auto& point = findOrCreatePoint(part.service());
-    for (const auto& it : part.outcomes())
-        point.recordOutcome(decodeOutcome(it, sender), now);
+    for (const auto& it : part.outcomes()) {
+        const auto outcome = decodeOutcome(it, sender);
+        point.recordOutcome(outcome, now);
+        if (outcome.targetLeaving)
+            notifyTargetLeaving(outcome, true);
+    }
     for (const auto& it : part.withdrawals())
         point.withdraw({ sender, it.request() });
     std::vector<routing::TargetRiskReport> risks;
@@ -326,6 +338,15 @@
 void PlacementClient::discardDispatchPoints()
 {
     m_points.clear();
+    std::vector<std::uint64_t> queuedHere;
+    for (const auto& [number, pending] : m_pending) {
+        if (pending.point == m_peers.self())
+            queuedHere.push_back(number);
+    }
+    for (const auto number : queuedHere) {
+        if (const auto it = m_pending.find(number); it != m_pending.end())
+            send(it->second);
+    }
 }
 
 } // namespace buckthorncroft::gateway
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -48,6 +48,13 @@
     /// and to the one that ranks first now.
     void report(const std::string& service, const std::string& point, routing::DispatchOutcome outcome);
 
+    /// Sets the function to call when an outcome says that its target leaves. The second argument is true if a point on
+    /// this instance granted the slot.
+    void onTargetLeaving(std::function<void(const membership::LeavingTarget&, bool)> handler)
+    {
+        m_onTargetLeaving = std::move(handler);
+    }
+
     /// Replaces the targets of all services.
     void setTargets(std::shared_ptr<const membership::TargetSet> targets);
 
@@ -57,7 +64,8 @@
     /// Resends requests without a response and runs the timers of the local points. Call every `tickInterval`.
     void tick();
 
-    /// Discards the local dispatch points. Call after the machine was suspended, which makes their state stale.
+    /// Discards the local dispatch points and sends their queued requests again. Call after the machine was suspended,
+    /// which makes their state stale.
     void discardDispatchPoints();
 
     static constexpr std::chrono::milliseconds tickInterval { 20 };
@@ -91,6 +99,7 @@
     void handleService(const std::string& sender, const wire::proto::ServiceDatagram& part);
     void handleDecision(const std::string& sender, const wire::proto::SlotDecision& message);
     void resendIfUnanswered(PendingRequest& pending);
+    void notifyTargetLeaving(const routing::DispatchOutcome& outcome, bool isPointHere);
     void logQueue(const std::string& service, const routing::DispatchPoint& point);
     std::vector<routing::HeldSlot> heldSlots(const std::string& service) const;
 
@@ -104,6 +113,7 @@
     std::map<std::uint64_t, PendingRequest> m_pending; ///< By request number.
     std::map<std::string, std::map<std::uint64_t, HeldGrant>> m_heldGrants; ///< Slots in use, by service and grant.
     std::shared_ptr<const membership::TargetSet> m_targets;
+    std::function<void(const membership::LeavingTarget&, bool)> m_onTargetLeaving;
     std::uint64_t m_nextRequestNumber = 1;
 };
 
--- a/src/gateway/placement_codec.cpp
+++ b/src/gateway/placement_codec.cpp
@@ -106,6 +106,10 @@
     message.set_verdict(static_cast<std::uint32_t>(outcome.verdict));
     message.set_latency_us(static_cast<std::uint32_t>(std::min<std::int64_t>(outcome.latency.count(), UINT32_MAX)));
     message.set_overdue(outcome.overdue);
+    message.set_leaving(outcome.targetLeaving);
+    message.set_born(outcome.targetStartedAtUnixMs);
+    message.set_retry_after_ms(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(outcome.retryAfter.count(), 0, UINT32_MAX)));
 }
 
 routing::DispatchOutcome decodeOutcome(const wire::proto::SlotOutcome& message, const std::string& sender)
@@ -118,6 +122,9 @@
     result.verdict = toVerdict(message.verdict());
     result.latency = microseconds(message.latency_us());
     result.overdue = message.overdue();
+    result.targetLeaving = message.leaving();
+    result.targetStartedAtUnixMs = message.born();
+    result.retryAfter = milliseconds(message.retry_after_ms());
     return result;
 }
 
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -30,11 +30,17 @@
     std::optional<membership::TargetRecord> record; ///< Empty if the target was removed.
 };
 
+/// An entry that was ignored because it is invalid.
+struct MalformedEntry {
+    std::string id; ///< Empty if the entry has no valid id.
+    std::string reason;
+};
+
 /// All targets or the changed ones, as read at one version of the registry.
 struct TargetsUpdate {
     RegistryVersion version = 0;
-    std::vector<TargetChange> changes;
-    std::vector<std::string> malformed; ///< Id and problem of each entry that was ignored because it is invalid.
+    std::vector<TargetChange> changes; ///< An entry that became malformed counts as removed.
+    std::vector<MalformedEntry> malformed;
 };
 
 /// A gateway instance, as the registry lists it.
--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -28,11 +28,12 @@
 } // namespace
 
 RegistryWatcher::RegistryWatcher(http::asio::io_context& io, const base::Clock& clock, Registry& registry,
-    const observe::Logger& log, TargetRelay& relay, PeerRecord self, Handlers handlers)
+    const observe::Logger& log, observe::Metrics& metrics, TargetRelay& relay, PeerRecord self, Handlers handlers)
     : m_io(io)
     , m_clock(clock)
     , m_registry(registry)
     , m_log(log)
+    , m_metrics(metrics)
     , m_relay(relay)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
@@ -41,13 +42,34 @@
 }
 
 void RegistryWatcher::start()
+{
+    startTask("routes", &RegistryWatcher::watchRoutes);
+    startTask("targets", &RegistryWatcher::watchTargets);
+    startTask("peers", &RegistryWatcher::registerAndListPeers);
+}
+
+void RegistryWatcher::startTask(const char* name, Task task)
 {
     http::asio::co_spawn(
-        m_io, [this] { return watchRoutes(); }, http::asio::detached);
-    http::asio::co_spawn(
-        m_io, [this] { return watchTargets(); }, http::asio::detached);
-    http::asio::co_spawn(
-        m_io, [this] { return registerAndListPeers(); }, http::asio::detached);
+        m_io, [this, name, task] { return runTask(name, task); }, http::asio::detached);
+}
+
+// Runs a task to its end. After an unexpected error, reads everything again and runs the task once more, so that the
+// instance does not keep its state for good.
+http::Awaitable<void> RegistryWatcher::runTask(const char* name, Task task)
+{
+    while (true) {
+        std::string reason;
+        try {
+            co_await (this->*task)();
+            co_return;
+        } catch (const std::exception& error) {
+            reason = error.what();
+        }
+        m_log.write(observe::Level::Error, "task_failed", { { "task", name }, { "reason", reason } });
+        refresh();
+        co_await sleepFor(maxRetryDelay);
+    }
 }
 
 void RegistryWatcher::refresh()
@@ -161,8 +183,7 @@
 
 void RegistryWatcher::applyTargets(const TargetsUpdate& update, bool isFullListing)
 {
-    for (const auto& it : update.malformed)
-        m_log.write(observe::Level::Warning, "target_entry_ignored", { { "reason", it } });
+    reportMalformed(update, isFullListing);
     if (isFullListing) {
         replaceTargets(update);
         return;
@@ -182,6 +203,36 @@
         m_relay.sendDelta(delta);
 }
 
+// Logs and counts each invalid entry once, until its reason changes.
+void RegistryWatcher::reportMalformed(const TargetsUpdate& update, bool isFullListing)
+{
+    std::map<std::string, std::string> reasons;
+    for (const auto& it : update.malformed)
+        reasons[it.id] = it.reason;
+    for (const auto& [id, reason] : reasons) {
+        const auto known = m_malformedEntries.find(id);
+        if (known != m_malformedEntries.end() && known->second == reason)
+            continue;
+        m_metrics.count("buckthorncroft_registry_entries_ignored_total");
+        m_log.write(observe::Level::Warning, "target_entry_ignored", { { "target", id }, { "reason", reason } });
+    }
+    if (isFullListing)
+        m_malformedEntries.clear();
+    for (const auto& it : update.changes)
+        m_malformedEntries.erase(it.id);
+    m_malformedEntries.merge(reasons);
+}
+
+bool RegistryWatcher::markLeaving(const membership::LeavingTarget& target)
+{
+    if (!m_directory.markLeaving(target, m_clock.now()))
+        return false;
+    m_log.write(observe::Level::Info, "target_changed",
+        { { "target", target.id }, { "state", "draining" }, { "source", "response" } });
+    m_handlers.onTargets(m_directory.targets());
+    return true;
+}
+
 void RegistryWatcher::replaceTargets(const TargetsUpdate& update)
 {
     std::vector<membership::TargetRecord> records;
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -6,7 +6,9 @@
 
 #include <buckthorncroft/gateway/settings.h>
 #include <buckthorncroft/observe/log.h>
+#include <buckthorncroft/observe/metrics.h>
 #include <functional>
+#include <map>
 
 namespace buckthorncroft::gateway {
 
@@ -22,7 +24,7 @@
     };
 
     RegistryWatcher(http::asio::io_context& io, const base::Clock& clock, Registry& registry,
-        const observe::Logger& log, TargetRelay& relay, PeerRecord self, Handlers handlers);
+        const observe::Logger& log, observe::Metrics& metrics, TargetRelay& relay, PeerRecord self, Handlers handlers);
 
     /// Starts to read; the coroutines run until the context stops.
     void start();
@@ -30,11 +32,21 @@
     /// Applies target changes that another instance read from the registry.
     void applyDelta(const TargetDelta& delta);
 
+    /// Records that a target announced in a response that it leaves. Returns false if this was known.
+    bool markLeaving(const membership::LeavingTarget& target);
+
+    /// Returns the targets that recently announced that they leave.
+    std::vector<membership::LeavingTarget> leavingTargets() { return m_directory.leavingTargets(m_clock.now()); }
+
     /// Reads all routes and targets again as soon as the current reads have ended. Call after the machine was suspended
     /// or when another instance has newer routes.
     void refresh();
 
 private:
+    using Task = http::Awaitable<void> (RegistryWatcher::*)();
+
+    void startTask(const char* name, Task task);
+    http::Awaitable<void> runTask(const char* name, Task task);
     http::Awaitable<void> watchRoutes();
     http::Awaitable<void> watchTargets();
     http::Awaitable<void> registerAndListPeers();
@@ -43,6 +55,7 @@
     http::Awaitable<void> pollTargets();
     void applyTargets(const TargetsUpdate& update, bool isFullListing);
     void replaceTargets(const TargetsUpdate& update);
+    void reportMalformed(const TargetsUpdate& update, bool isFullListing);
     bool applyChange(const TargetChange& change, const char* source);
     void applyDelayedRemovals();
     void recordFailure(const char* dataSet, const base::Error& error, bool& isUnreachable);
@@ -52,6 +65,7 @@
     const base::Clock& m_clock;
     Registry& m_registry;
     const observe::Logger& m_log;
+    observe::Metrics& m_metrics;
     TargetRelay& m_relay;
     PeerRecord m_self;
     Handlers m_handlers;
@@ -59,6 +73,7 @@
     std::uint64_t m_appliedRoutesVersion = 0; ///< Version of the routes in force.
     RegistryVersion m_routesRegistryVersion = 0; ///< 0: the next read is a full read.
     RegistryVersion m_targetsRegistryVersion = 0; ///< 0: the next read is a full listing.
+    std::map<std::string, std::string> m_malformedEntries; ///< Logged reason of each entry that is invalid now, by id.
     std::vector<TargetChange> m_unsentChanges; ///< Delayed removals to include in the next delta.
     std::chrono::milliseconds m_targetsRetryDelay;
     bool m_routesStale = false; ///< The next read is a full read, whatever a read in flight returns.
--- a/src/gateway/target_relay.cpp
+++ b/src/gateway/target_relay.cpp
@@ -22,6 +22,31 @@
     constexpr milliseconds readerExclusionTtl { 3000 };
     constexpr milliseconds unreachableRepeatInterval { 1000 };
 
+    // A datagram holds at most 65,507 bytes.
+    constexpr std::size_t maxDeltaBytes = 60'000;
+
+    // Returns the change that a peer sent, or nothing if it is invalid. A peer's entries are checked like the
+    // registry's.
+    std::optional<TargetChange> decodeChange(const wire::proto::TargetEntry& entry)
+    {
+        if (!membership::isValidName(entry.id()))
+            return std::nullopt;
+        if (entry.gone())
+            return TargetChange { entry.id(), std::nullopt };
+        if (entry.port() > membership::maxPort)
+            return std::nullopt;
+        membership::TargetRecord record { entry.id(), entry.service(), entry.host(),
+            static_cast<std::uint16_t>(entry.port()), entry.zone() };
+        record.slots = entry.slots();
+        record.draining = entry.draining();
+        record.coldRemaining = milliseconds(entry.cold_ms());
+        record.sequence = entry.sequence();
+        record.startedAtUnixMs = entry.born();
+        if (membership::findProblem(record))
+            return std::nullopt;
+        return TargetChange { entry.id(), std::move(record) };
+    }
+
 } // namespace
 
 TargetRelay::TargetRelay(const base::Clock& clock, PeerGroup& peers)
@@ -71,6 +96,11 @@
         entry.set_sequence(record.sequence);
         entry.set_born(record.startedAtUnixMs);
     }
+    if (message.ByteSizeLong() > maxDeltaBytes) {
+        // The receivers detect that they miss changes, and read the registry.
+        part.clear_entries();
+        part.set_from(delta.toVersion);
+    }
     m_peers.sendToAll(message);
 }
 
@@ -85,6 +115,15 @@
     m_peers.sendToAll(message);
 }
 
+void TargetRelay::sendLeaving(const membership::LeavingTarget& target)
+{
+    auto message = m_peers.makeMessage();
+    auto& it = *message.add_leaving();
+    it.set_id(target.id);
+    it.set_born(target.startedAtUnixMs);
+    m_peers.sendToAll(message);
+}
+
 std::optional<TargetDelta> TargetRelay::handle(const wire::proto::PeerDatagram& datagram)
 {
     if (!datagram.has_news())
@@ -98,18 +137,10 @@
     m_lastDeltaAt = now;
     TargetDelta result { part.from(), part.to(), {} };
     for (const auto& it : part.entries()) {
-        TargetChange change { it.id(), std::nullopt };
-        if (!it.gone()) {
-            membership::TargetRecord record { it.id(), it.service(), it.host(), static_cast<std::uint16_t>(it.port()),
-                it.zone() };
-            record.slots = it.slots();
-            record.draining = it.draining();
-            record.coldRemaining = milliseconds(it.cold_ms());
-            record.sequence = it.sequence();
-            record.startedAtUnixMs = it.born();
-            change.record = std::move(record);
-        }
-        result.changes.push_back(std::move(change));
+        if (auto change = decodeChange(it))
+            result.changes.push_back(std::move(*change));
+        else
+            ++m_invalidEntries;
     }
     return result;
 }
--- a/src/gateway/target_relay.h
+++ b/src/gateway/target_relay.h
@@ -42,6 +42,12 @@
     /// Repeated calls are rate-limited.
     void sendRegistryUnreachable();
 
+    /// Notifies the other instances that a target announced that it leaves.
+    void sendLeaving(const membership::LeavingTarget& target);
+
+    /// Number of entries from other instances that were dropped because they are invalid.
+    std::uint64_t invalidEntries() const { return m_invalidEntries; }
+
     /// Processes a datagram of another instance. Returns the target changes that it contains, if any.
     std::optional<TargetDelta> handle(const wire::proto::PeerDatagram& datagram);
 
@@ -51,6 +57,7 @@
     std::map<std::string, base::SteadyTime> m_excludedUntil; ///< By instance: when it may be a reader again.
     base::SteadyTime m_lastDeltaAt; ///< When a delta of any reader was last received.
     base::SteadyTime m_unreachableSentAt {};
+    std::uint64_t m_invalidEntries = 0;
 };
 
 } // namespace buckthorncroft::gateway
--- a/src/membership/peer_ranking.cpp
+++ b/src/membership/peer_ranking.cpp
@@ -54,7 +54,10 @@
 
 void PeerRanking::recordTimeout(const std::string& instance, base::SteadyTime now)
 {
-    auto& peer = m_peers[instance];
+    const auto it = m_peers.find(instance);
+    if (it == m_peers.end())
+        return;
+    auto& peer = it->second;
     peer.backoff = peer.backoff.count() == 0 ? initialBackoff : std::min(maxBackoff, peer.backoff * 2);
     peer.skipUntil = now + peer.backoff;
 }
--- a/src/membership/target_directory.cpp
+++ b/src/membership/target_directory.cpp
@@ -45,9 +45,16 @@
     return known == m_knownTargets.end() ? nullptr : m_targets->find(known->second.service, id);
 }
 
-bool TargetDirectory::upsert(const TargetRecord& record, base::SteadyTime now)
+bool TargetDirectory::hasAnnouncedLeaving(const TargetRecord& record) const
 {
-    m_pendingRemovals.erase(record.id);
+    const auto it = m_leaving.find(record.id);
+    return it != m_leaving.end() && record.startedAtUnixMs <= it->second.startedAtUnixMs;
+}
+
+bool TargetDirectory::upsert(const TargetRecord& listed, base::SteadyTime now)
+{
+    auto record = listed;
+    record.draining = record.draining || hasAnnouncedLeaving(record);
     const auto* previous = find(record.id);
     // Records arrive from the registry and from peers, so they may arrive out of order. An older one is ignored.
     const bool sameLifetime = previous && previous->record.startedAtUnixMs == record.startedAtUnixMs;
@@ -56,6 +63,7 @@
             || (sameLifetime && record.sequence < m_knownTargets[record.id].sequence));
     if (isStale)
         return false;
+    m_pendingRemovals.erase(record.id);
     const bool restarted = previous && !sameLifetime;
     if (previous && !restarted && !routingDiffers(previous->record, record)) {
         m_knownTargets[record.id].sequence = record.sequence;
@@ -70,6 +78,37 @@
     return true;
 }
 
+bool TargetDirectory::markLeaving(const LeavingTarget& target, base::SteadyTime now)
+{
+    forgetOldAnnouncements(now);
+    const auto* entry = find(target.id);
+    const auto known = m_leaving.find(target.id);
+    const bool isOutdated = (entry && entry->record.startedAtUnixMs > target.startedAtUnixMs)
+        || (known != m_leaving.end() && known->second.startedAtUnixMs >= target.startedAtUnixMs);
+    if (isOutdated)
+        return false;
+    m_leaving[target.id] = { target.startedAtUnixMs, now };
+    if (!entry || entry->record.draining)
+        return false;
+    const auto service = entry->record.service;
+    copyForUpdate().services[service][target.id].record.draining = true;
+    return true;
+}
+
+std::vector<LeavingTarget> TargetDirectory::leavingTargets(base::SteadyTime now)
+{
+    forgetOldAnnouncements(now);
+    std::vector<LeavingTarget> result;
+    for (const auto& [id, it] : m_leaving)
+        result.push_back({ id, it.startedAtUnixMs });
+    return result;
+}
+
+void TargetDirectory::forgetOldAnnouncements(base::SteadyTime now)
+{
+    std::erase_if(m_leaving, [now](const auto& it) { return now - it.second.announcedAt > leavingTtl; });
+}
+
 bool TargetDirectory::erase(const std::string& id)
 {
     const auto known = m_knownTargets.find(id);
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -43,6 +43,9 @@
     // A target that shed a request needs about this long to work off its own queue.
     constexpr milliseconds saturatedTtl { 200 };
 
+    // Bounds the time for which a target that refuses requests is not used.
+    constexpr milliseconds maxTargetPause { 10'000 };
+
     // A target that sheds a request with this many slots free is failing rather than saturated.
     constexpr std::size_t unexpectedShedFreeSlots = 2;
 
@@ -134,16 +137,29 @@
 
 void DispatchPoint::setTargets(const std::map<std::string, membership::DirectoryEntry>& targets, base::SteadyTime now)
 {
-    std::erase_if(m_targets, [&](const auto& it) { return !targets.contains(it.first); });
+    std::erase_if(m_targets, [&](const auto& it) {
+        const bool removed = !targets.contains(it.first);
+        if (removed)
+            releaseGrants(it.second);
+        return removed;
+    });
     for (const auto& [id, entry] : targets) {
         auto& target = m_targets[id];
-        if (target.entry.record.startedAtUnixMs != entry.record.startedAtUnixMs)
+        if (target.entry.record.startedAtUnixMs != entry.record.startedAtUnixMs) {
+            releaseGrants(target);
             target = {};
+        }
         target.entry = entry;
     }
     dispatchQueue(now);
 }
 
+void DispatchPoint::releaseGrants(const Target& target)
+{
+    for (const auto& it : target.slots)
+        m_grantTargets.erase(it.grant);
+}
+
 bool DispatchPoint::canAccept(const Target& target, const DispatchRequest& request, base::SteadyTime now) const
 {
     const auto& record = target.entry.record;
@@ -413,6 +429,10 @@
     if (request.attempt != 0 && !m_retryBudget.tryTake(now))
         return refuse(request, DispatchRefusal::RetryBudgetExhausted, now);
     const QueuedRequest queued { request, now, computeWaitDeadline(request, now) };
+    if (const auto pauseEnd = earliestEndOfPauses(request); pauseEnd && *pauseEnd > queued.waitDeadline) {
+        m_lastPlannedRetryAt = std::max(m_lastPlannedRetryAt, *pauseEnd);
+        return refuse(request, DispatchRefusal::Overloaded, now);
+    }
     const bool first = m_queue.empty() || hasPrecedence(request, m_queue.front().request, now);
     if (first && tryGrant(queued, now))
         return;
@@ -473,7 +493,7 @@
     m_grantTargets.erase(outcome.grant);
     const bool shed = outcome.verdict == health::Verdict::Shed;
     if (shed)
-        target.saturatedUntil = now + saturatedTtl;
+        recordShed(target, outcome, now);
     const bool expectedShed = shed && inUse + unexpectedShedFreeSlots > target.entry.record.slots;
     if (!expectedShed)
         target.risk.observe(outcome.verdict, started, now);
@@ -488,6 +508,32 @@
     dispatchQueue(now);
 }
 
+// A target names a time for one instance and may still serve the others. Once it refuses a second instance before that
+// time, it has no room for any of them.
+void DispatchPoint::recordShed(Target& target, const DispatchOutcome& outcome, base::SteadyTime now)
+{
+    target.saturatedUntil = std::max(target.saturatedUntil, now + saturatedTtl);
+    if (outcome.retryAfter.count() <= 0)
+        return;
+    const auto until = now + std::min(outcome.retryAfter, maxTargetPause);
+    if (now < target.pausedUntil && target.pausedInstance != outcome.instance)
+        target.saturatedUntil = std::max(target.saturatedUntil, std::min(until, target.pausedUntil));
+    target.pausedInstance = outcome.instance;
+    target.pausedUntil = until;
+}
+
+// Returns when the first of the targets that may take the request ends its pause; a time in the past if one has none.
+// Returns nothing if there is no such target.
+std::optional<base::SteadyTime> DispatchPoint::earliestEndOfPauses(const DispatchRequest& request) const
+{
+    std::optional<base::SteadyTime> result;
+    for (const auto& [id, target] : m_targets) {
+        if (!target.entry.record.draining && !contains(request.excluded, id))
+            result = std::min(result.value_or(base::SteadyTime::max()), target.saturatedUntil);
+    }
+    return result;
+}
+
 void DispatchPoint::reconcileHeldSlots(
     const std::string& instance, const std::vector<HeldSlot>& slots, base::SteadyTime now)
 {
--- a/standins/registry_store.h
+++ b/standins/registry_store.h
@@ -26,6 +26,7 @@
     Returns503, ///< Every call gets status 503 and has no effect.
     NeverResponds, ///< Calls hang until the fault is cleared.
     DropsResponses, ///< Calls take effect, but their connection is closed without a response.
+    RepeatsPages, ///< Every page claims that more rows follow.
 };
 
 /// In-memory substitute for the metadata store of the users' platform: rows in tables, a feed of changes, and atomic
@@ -67,6 +68,14 @@
         writeRow(table, key, encodedValue, false);
     }
 
+    /// Writes a row with the given JSON fields in place of its own, to simulate a store that returns invalid rows.
+    void putFields(const std::string& table, const std::string& key, const nlohmann::json& fields)
+    {
+        const std::lock_guard lock(m_mutex);
+        writeRow(table, key, "", false);
+        m_tables[table][key].fields = fields;
+    }
+
     /// Deletes a row; feeds report it as deleted.
     void remove(const std::string& table, const std::string& key)
     {
@@ -106,6 +115,7 @@
         std::string value;
         std::uint64_t version = 0;
         bool isDeleted = false;
+        Json fields; ///< Replaces the fields of the row in responses unless it is null.
     };
     struct Response {
         unsigned status = 200;
@@ -198,7 +208,18 @@
         for (std::string field; std::getline(text, field, '&');) {
             const auto separator = field.find('=');
             if (separator != std::string::npos)
-                result[field.substr(0, separator)] = field.substr(separator + 1);
+                result[field.substr(0, separator)] = decodePercent(field.substr(separator + 1));
+        }
+        return result;
+    }
+
+    static std::string decodePercent(const std::string& text)
+    {
+        std::string result;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const bool isEscape = text[i] == '%' && i + 2 < text.size();
+            result += isEscape ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)) : text[i];
+            i += isEscape ? 2 : 0;
         }
         return result;
     }
@@ -211,6 +232,8 @@
 
     static Json rowJson(const std::string& table, const std::string& key, const Row& row)
     {
+        if (!row.fields.is_null())
+            return row.fields;
         Json result { { "table", table }, { "part", "" }, { "key", key }, { "ver", row.version } };
         if (row.isDeleted)
             result["deleted"] = true;
@@ -235,6 +258,8 @@
             }
             response.body["rows"].push_back(rowJson(table->first, it->first, it->second));
         }
+        if (m_fault == StoreFault::RepeatsPages)
+            response.body["has_more"] = true;
         return response;
     }
 
@@ -290,7 +315,7 @@
 
     void writeRow(const std::string& table, const std::string& key, const std::string& value, bool isDeleted)
     {
-        m_tables[table][key] = { value, ++m_version, isDeleted };
+        m_tables[table][key] = { value, ++m_version, isDeleted, {} };
         m_changed.notify_all();
     }
 
--- a/tests/core/dispatch_point_test.cpp
+++ b/tests/core/dispatch_point_test.cpp
@@ -546,3 +546,78 @@
     }
     BOOST_TEST(violations == 0u);
 }
+
+// Guards against requests to a target that has refused two instances and named a time for both. A target that has
+// refused one instance may still serve the others.
+BOOST_AUTO_TEST_CASE(targetThatRefusesTwoInstancesIsNotUsed)
+{
+    Fixture f(1);
+    const auto refuse = [&](const std::string& instance, milliseconds retryAfter) {
+        routing::DispatchOutcome outcome { instance, 0, "t0", RequestKind::Idempotent, Verdict::Shed };
+        outcome.retryAfter = retryAfter;
+        f.point.recordOutcome(outcome, f.clock.now());
+    };
+    refuse("i1", 4000ms);
+    f.clock.advance(300ms);
+    auto decision = f.requestDecision(f.makeRequest());
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->grant != 0u);
+    f.finish(*decision, Verdict::Good);
+    refuse("i2", 2000ms);
+    f.clock.advance(1000ms);
+    decision = f.requestDecision(f.makeRequest());
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->grant == 0u);
+    BOOST_TEST((decision->refusal == DispatchRefusal::Overloaded));
+    BOOST_TEST((decision->retryAfter >= 1000ms));
+    f.clock.advance(1100ms);
+    decision = f.requestDecision(f.makeRequest());
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->grant != 0u);
+}
+
+// Guards against a target that is out of use for good because it named an absurd time.
+BOOST_AUTO_TEST_CASE(timeThatATargetNamesIsBounded)
+{
+    Fixture f(1);
+    for (const auto* instance : { "i1", "i2" }) {
+        routing::DispatchOutcome outcome { instance, 0, "t0", RequestKind::Idempotent, Verdict::Shed };
+        outcome.retryAfter = 1000h;
+        f.point.recordOutcome(outcome, f.clock.now());
+    }
+    f.clock.advance(10'100ms);
+    const auto decision = f.requestDecision(f.makeRequest());
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->grant != 0u);
+}
+
+// Guards against a slot that is counted twice or never released after its target was removed and listed again.
+BOOST_AUTO_TEST_CASE(slotsOfARemovedTargetAreReportedAgain)
+{
+    Fixture f(1);
+    const auto decision = f.requestDecision(f.makeRequest());
+    BOOST_REQUIRE(decision.has_value());
+    f.point.setTargets({}, f.clock.now());
+    f.point.setTargets(f.targets, f.clock.now());
+    BOOST_TEST(f.point.load(f.clock.now()).slotsInUse == 0u);
+    f.point.reconcileHeldSlots("i1", { { decision->grant, decision->target } }, f.clock.now());
+    BOOST_TEST(f.point.load(f.clock.now()).slotsInUse == 1u);
+    f.finish(*decision, Verdict::Good);
+    BOOST_TEST(f.point.load(f.clock.now()).slotsInUse == 0u);
+}
+
+// Guards against giving the slots of an instance to others while it is silent or slow to report: its requests may still
+// run, so the slots stay in use until their deadlines.
+BOOST_AUTO_TEST_CASE(silentInstanceKeepsItsSlots)
+{
+    Fixture f(1);
+    for (unsigned n = 0; n < 3; ++n)
+        BOOST_REQUIRE(f.requestDecision(f.makeRequest()).has_value());
+    f.clock.advance(4s);
+    f.point.tick(f.clock.now());
+    f.point.reconcileHeldSlots("i2", {}, f.clock.now());
+    BOOST_TEST(f.point.load(f.clock.now()).slotsInUse == 3u);
+    f.clock.advance(2s);
+    f.point.tick(f.clock.now());
+    BOOST_TEST(f.point.load(f.clock.now()).slotsInUse == 0u);
+}
--- a/tests/core/peer_ranking_test.cpp
+++ b/tests/core/peer_ranking_test.cpp
@@ -76,3 +76,14 @@
     one.markLeaving("strong");
     BOOST_TEST(one.first("stock", clock.now()) == two.first("stock", clock.now()));
 }
+
+// Guards against an instance that a timeout adds to the fleet without a place in the rankings.
+BOOST_FIXTURE_TEST_CASE(timeoutDoesNotAddAnInstance, Fixture)
+{
+    const auto before = one.top("stock", 100, clock.now());
+    one.recordTimeout("unknown", clock.now());
+    clock.advance(10s);
+    one.setCapacity("b", 1.5);
+    one.setCapacity("b", 1);
+    BOOST_TEST(one.top("stock", 100, clock.now()).size() == before.size());
+}
--- a/tests/core/target_directory_test.cpp
+++ b/tests/core/target_directory_test.cpp
@@ -104,3 +104,49 @@
     BOOST_TEST(!lists("a"));
     BOOST_TEST(lists("b"));
 }
+
+// Guards against an outdated record, relayed by a slow instance, that cancels the delayed removal of a target.
+BOOST_FIXTURE_TEST_CASE(outdatedRecordDoesNotCancelARemoval, Fixture)
+{
+    directory.upsert(record("a", 5), clock.now());
+    directory.recordFailedRead(clock.now());
+    directory.remove("a", clock.now());
+    clock.advance(1s);
+    directory.upsert(record("a", 4), clock.now());
+    clock.advance(1s);
+    BOOST_TEST(directory.applyDueRemovals(clock.now()).size() == 1u);
+    BOOST_TEST(!lists("a"));
+}
+
+// Guards against requests to a target that announced in a response that it leaves, while its entry, which may be out of
+// date for as long as the target cannot reach the registry, still lists it as ready.
+BOOST_FIXTURE_TEST_CASE(leavingTargetStaysDrainingForItsLifetime, Fixture)
+{
+    const auto isDraining = [&] { return directory.targets()->find("stock", "a")->record.draining; };
+    directory.upsert(record("a", 1), clock.now());
+    BOOST_TEST(directory.markLeaving({ "a", 100 }, clock.now()));
+    BOOST_TEST(isDraining());
+    BOOST_TEST(!directory.markLeaving({ "a", 100 }, clock.now()));
+    directory.upsert(record("a", 2), clock.now());
+    BOOST_TEST(isDraining());
+    directory.remove("a", clock.now());
+    directory.upsert(record("a", 3), clock.now());
+    BOOST_TEST(isDraining());
+    directory.replaceAll({ record("a", 4) }, clock.now());
+    BOOST_TEST(isDraining());
+    directory.upsert(record("a", 1, 200), clock.now());
+    BOOST_TEST(!isDraining());
+    BOOST_TEST(!directory.markLeaving({ "a", 100 }, clock.now()));
+    BOOST_TEST(!isDraining());
+}
+
+// Guards against an announcement that is lost because it arrives before the target's first record.
+BOOST_FIXTURE_TEST_CASE(leavingTargetMayBeUnknown, Fixture)
+{
+    directory.markLeaving({ "a", 100 }, clock.now());
+    directory.upsert(record("a"), clock.now());
+    BOOST_TEST(directory.targets()->find("stock", "a")->record.draining);
+    BOOST_TEST(directory.leavingTargets(clock.now()).size() == 1u);
+    clock.advance(TargetDirectory::leavingTtl + 1s);
+    BOOST_TEST(directory.leavingTargets(clock.now()).empty());
+}
--- a/tests/gateway/documents_test.cpp
+++ b/tests/gateway/documents_test.cpp
@@ -3,6 +3,8 @@
 
 #include "../../platform/documents.h"
 
+#include <rapidcheck.h>
+
 using namespace buckthorncroft;
 using namespace std::chrono_literals;
 
@@ -82,7 +84,17 @@
     const std::vector<std::pair<std::string, std::string>> changes { { "\"ready\"", "\"novel\"" },
         { "10.0.0.9:8080", "10.0.0.9" }, { "10.0.0.9:8080", "nowhere:80" }, { "\"slots\":3", "\"slots\":\"3\"" },
         { "\"slots\":3", "\"slots\":0" }, { "\"seq\":4", "\"seq\":\"4\"" }, { "\"zone\":\"z\",", "" },
-        { "1790000000000", "1.5" }, { "\"1500ms\"", "\"later\"" }, { "{", "" } };
+        { "1790000000000", "1.5" }, { "\"1500ms\"", "\"later\"" }, { "{", "" },
+        { "\"slots\":3", "\"slots\":4294967297" }, { "\"slots\":3", "\"slots\":1e300" },
+        { "\"slots\":3", "\"slots\":-1" }, { "\"slots\":3", "\"slots\":3.0" }, { "\"seq\":4", "\"seq\":-4" },
+        { "\"seq\":4", "\"seq\":18446744073709551616" }, { "1790000000000", "-1" },
+        { "1790000000000", "9223372036854775807" }, { "1790000000000", "18446744073709551615" },
+        { "\"1500ms\"", "\"1e300s\"" }, { "\"1500ms\"", "\"1e400s\"" }, { "\"1500ms\"", "\"nan ms\"" },
+        { "\"1500ms\"", "\"-1ms\"" }, { "\"1500ms\"", "\"infs\"" }, { "10.0.0.9:8080", "10.0.0.9:65536" },
+        { "10.0.0.9:8080", "10.0.0.9:0" }, { "10.0.0.9:8080", "10.0.0.9:-1" }, { "10.0.0.9:8080", "0.0.0.0:8080" },
+        { "10.0.0.9:8080", "224.0.0.1:8080" }, { "\"zone\":\"z\"", "\"zone\":\"z\\r\\nX: 1\"" },
+        { "\"service\":\"s1\"", "\"service\":\"\"" },
+        { "\"service\":\"s1\"", "\"service\":\"" + std::string(201, 's') + "\"" } };
     for (const auto& [from, to] : changes)
         BOOST_CHECK_THROW(platform::decodeTarget("i-1", replaceFirst(whole, from, to)), std::exception);
 }
@@ -103,3 +115,87 @@
     BOOST_TEST(decoded.port == peer.port);
     BOOST_TEST(decoded.capacity == peer.capacity);
 }
+
+// Guards against an entry whose nesting exhausts the stack. An entry with an unknown field of moderate depth is valid.
+BOOST_AUTO_TEST_CASE(deeplyNestedDocumentsAreRejected)
+{
+    const auto nested = [](std::size_t depth) {
+        const auto value = std::string(depth, '[') + std::string(depth, ']');
+        return replaceFirst(entry, "\"slots\"", "\"extra\":" + value + ",\"slots\"");
+    };
+    BOOST_TEST(platform::decodeTarget("i-1", nested(20)).slots == 3u);
+    BOOST_CHECK_THROW(platform::decodeTarget("i-1", nested(30'000)), std::exception);
+    BOOST_CHECK_THROW(platform::decodeTarget("i-1", std::string(65'536, '[')), std::exception);
+    BOOST_CHECK_THROW(
+        platform::decodeTarget("i-1", replaceFirst(entry, "3,", std::string(30'000, '[') + ",")), std::exception);
+    BOOST_TEST(platform::parseDocument(R"(["[[[\"[",1])").size() == 2u);
+}
+
+// Guards against a reason that does not name the field, its value and its bounds.
+BOOST_AUTO_TEST_CASE(reasonNamesValueAndBounds)
+{
+    try {
+        platform::decodeTarget("i-1", replaceFirst(entry, "\"slots\":3", "\"slots\":70000"));
+        BOOST_FAIL("the entry was accepted");
+    } catch (const std::exception& error) {
+        BOOST_TEST(std::string(error.what()) == "slots is 70000, but must be a whole number from 1 to 65535");
+    }
+}
+
+// Guards against invalid numbers in the configuration that change their value when they are converted.
+BOOST_AUTO_TEST_CASE(configurationNumbersAreChecked)
+{
+    const std::vector<std::pair<std::string, std::string>> changes { { "\"priority\":1", "\"priority\":-1" },
+        { "\"priority\":1", "\"priority\":4294967297" }, { "\"max_attempts\":2", "\"max_attempts\":1e300" },
+        { "\"weight\":90", "\"weight\":-1" }, { "\"weight\":90", "\"weight\":1e300" }, { "16384", "4294967297" },
+        { "67108864", "-1" }, { "\"2.5s\"", "\"1e300s\"" } };
+    for (const auto& [from, to] : changes)
+        BOOST_CHECK_THROW(platform::decodeRoutes(replaceFirst(configuration, from, to)), std::exception);
+}
+
+namespace {
+
+/// Whether a decoder returned a record that passes all checks, or threw a standard exception.
+bool isHandled(const std::string& document)
+{
+    try {
+        const auto target = platform::decodeTarget("i-1", document);
+        return !membership::findProblem(target).has_value();
+    } catch (const std::exception&) {
+        return true;
+    }
+}
+
+nlohmann::json arbitraryValue()
+{
+    return *rc::gen::element<nlohmann::json>(nullptr, true, -1, 0, 4'294'967'296, 1e300, -1e300, 0.5,
+        18'446'744'073'709'551'615u, "", "x", "10.0.0.1:99999", "1e999ms", std::string(70'000, 'a'),
+        nlohmann::json::array(), nlohmann::json::object(), nlohmann::json::array({ nlohmann::json::array() }));
+}
+
+} // namespace
+
+// Guards against input for which a decoder throws anything but a standard exception, or returns values out of bounds.
+BOOST_AUTO_TEST_CASE(decodersHandleAnyInput)
+{
+    BOOST_TEST(rc::check("arbitrary bytes", [](const std::string& bytes) { RC_ASSERT(isHandled(bytes)); }));
+    BOOST_TEST(rc::check("one byte of a valid entry is replaced", [] {
+        std::string document = entry;
+        document[*rc::gen::inRange<std::size_t>(0, document.size())] = *rc::gen::arbitrary<char>();
+        RC_ASSERT(isHandled(document));
+    }));
+    BOOST_TEST(rc::check("one field of a valid entry is replaced", [] {
+        auto document = nlohmann::json::parse(entry);
+        const auto key = *rc::gen::element<std::string>(
+            "service", "address", "zone", "slots", "state", "cold_remaining", "seq", "born");
+        document[key] = arbitraryValue();
+        RC_ASSERT(isHandled(document.dump()));
+    }));
+    BOOST_TEST(rc::check("base64", [](const std::string& bytes) {
+        RC_ASSERT(platform::decodeBase64(platform::encodeBase64(bytes)) == bytes);
+        try {
+            platform::decodeBase64(bytes);
+        } catch (const std::exception&) {
+        }
+    }));
+}
--- a/tests/gateway/registry_client_test.cpp
+++ b/tests/gateway/registry_client_test.cpp
@@ -5,6 +5,7 @@
 #include "../../platform/registry_client.h"
 #include "../../standins/registry_store.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 using namespace buckthorncroft;
@@ -144,3 +145,64 @@
     BOOST_TEST(peers.value()[0].port == 7620);
     BOOST_TEST(peers.value()[0].capacity == 0.2, boost::test_tools::tolerance(1e-6));
 }
+
+// Guards against one invalid row that hides all others, in a listing and in the feed. Each field of a row is invalid
+// once.
+BOOST_FIXTURE_TEST_CASE(invalidRowsDoNotHideTheOthers, Fixture)
+{
+    const auto value = encodedTarget();
+    const std::vector<nlohmann::json> rows { { { "key", "i-2" }, { "value", 7 } }, { { "key", "i-3" } },
+        { { "key", "i-4" }, { "value", "no base64!" } }, { { "key", 5 }, { "value", value } }, { { "value", value } },
+        { { "key", "i-6" }, { "value", nullptr } }, "no object", nullptr,
+        { { "key", "i-7" }, { "value", value }, { "deleted", "yes" } },
+        { { "key", "i 8\r\nX: 1" }, { "value", value } } };
+    store.put("servers", "i-0", value);
+    for (std::size_t n = 0; n < rows.size(); ++n)
+        store.putFields("servers", fmt::format("row-{}", n), rows[n]);
+    store.put("servers", "z-last", value);
+    const auto read = run(registry->readTargets());
+    BOOST_REQUIRE(read);
+    const auto isTarget = [](const gateway::TargetChange& it) { return it.record.has_value(); };
+    const auto& changes = read.value().changes;
+    BOOST_TEST(std::count_if(changes.begin(), changes.end(), isTarget) == 2);
+    BOOST_TEST(read.value().malformed.size() == rows.size());
+    const auto fed = run(registry->waitForTargets(1, 1s));
+    BOOST_REQUIRE(fed);
+    BOOST_TEST(std::count_if(fed.value().changes.begin(), fed.value().changes.end(), isTarget) == 2);
+}
+
+// Guards against a target that stays in use after its entry was overwritten by one that cannot be read.
+BOOST_FIXTURE_TEST_CASE(entryThatBecomesInvalidCountsAsRemoved, Fixture)
+{
+    store.put("servers", "i-1", encodedTarget());
+    const auto listed = run(registry->readTargets());
+    BOOST_REQUIRE(listed);
+    store.put("servers", "i-1", platform::encodeBase64("{}"));
+    const auto read = run(registry->waitForTargets(listed.value().version, 1s));
+    BOOST_REQUIRE(read);
+    BOOST_REQUIRE(read.value().changes.size() == 1u);
+    BOOST_TEST(!read.value().changes[0].record.has_value());
+}
+
+// Guards against a listing that never ends because the store returns the same page again and again.
+BOOST_FIXTURE_TEST_CASE(listingEndsWithoutNewKeys, Fixture)
+{
+    store.put("servers", "i-1", encodedTarget());
+    store.put("servers", "i-2", encodedTarget());
+    store.setFault(StoreFault::RepeatsPages);
+    const auto read = run(registry->readTargets());
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read.value().changes.size() == 2u);
+}
+
+// Guards against keys that change the query in which they are sent.
+BOOST_FIXTURE_TEST_CASE(keysAreEscapedInQueries, Fixture)
+{
+    for (unsigned n = 0; n < 500; ++n)
+        store.put("servers", fmt::format("i-{:05}", n), encodedTarget());
+    store.put("servers", "i-00499&limit=0%", encodedTarget());
+    store.put("servers", "i-00500", encodedTarget());
+    const auto read = run(registry->readTargets());
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read.value().changes.size() == 502u);
+}
