--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -19,10 +19,16 @@
     // A caller that sends no byte of a request body for this long is considered gone.
     constexpr milliseconds bodyReadTimeout { 10'000 };
 
+    // A caller that takes no byte of a response for this long is considered gone.
+    constexpr milliseconds writeStallTimeout { 10'000 };
+
+    // Size of the pieces in which a long body is relayed.
+    constexpr std::size_t streamPieceBytes = std::size_t { 16 } * 1024;
+
     // Before the connection is closed, bytes that the caller still sends are read and discarded, for at most this time
     // and size. Closing with unread bytes resets the connection, so the caller could lose the response.
     constexpr milliseconds discardTimeout { 500 };
-    constexpr std::size_t maxDiscardedBytes = 1 << 20;
+    constexpr std::size_t maxDiscardedBytes = 16 << 20;
 
 } // namespace
 
@@ -60,12 +66,21 @@
     return !m_writing && (m_exchanges.empty() || m_lastResponseSent);
 }
 
+// Whether the process stops and the connection is not needed any more. If bytes have arrived, a request is pending and
+// is served first.
+bool CallerSession::mayCloseIdle()
+{
+    http::error_code ec;
+    const bool closing = m_context.closingIdleConnections || (m_context.closingKeptConnections && m_hasServed);
+    return closing && m_connection->socket().available(ec) == 0;
+}
+
 // Waits for the first byte of a request. Returns false if the connection ends first.
 http::Awaitable<bool> CallerSession::waitForRequest()
 {
     while (m_connection->buffer().size() == 0) {
         m_idle = m_exchanges.empty();
-        if (m_lastResponseSent || (m_idle && m_context.closingIdleConnections))
+        if (m_lastResponseSent || (m_idle && mayCloseIdle()))
             co_return false;
         if (m_idle)
             m_connection->closeAt(m_context.clock.now() + limits().idleTimeout);
@@ -115,6 +130,10 @@
         co_await m_responsesSentTimer.async_wait(http::captureError(ec));
     }
     const bool arrived = co_await waitForRequest();
+    // While the process stops, the connection closes after the requests in flight, so that this one will not get a
+    // response.
+    if (m_context.stopping && !m_exchanges.empty())
+        m_closing = true;
     if (!arrived || m_closing)
         co_return false;
     const auto begin = m_context.clock.now();
@@ -126,18 +145,20 @@
     http::error_code ec;
     co_await http::bhttp::async_read_header(
         m_connection->socket(), m_connection->buffer(), parser, http::captureError(ec));
-    if (!ec) {
-        const bool whole = co_await readBody(parser);
-        if (!whole)
-            co_return false;
-        startRequest(parser.release(), begin);
-        co_return true;
+    if (ec) {
+        handleReadError(ec);
+        co_return false;
     }
-    handleReadError(ec);
-    co_return false;
+    auto memory = std::make_unique<limits::MemoryReservation>(m_context.memory);
+    const bool whole = co_await readBody(parser, *memory);
+    // The response that closes the connection may have been chosen while the body arrived.
+    if (!whole || m_closing)
+        co_return false;
+    startRequest(parser.release(), begin, std::move(memory));
+    co_return true;
 }
 
-http::Awaitable<bool> CallerSession::readBody(http::bhttp::request_parser<http::bhttp::string_body>& parser)
+http::Awaitable<bool> CallerSession::readBody(RequestParser& parser, limits::MemoryReservation& memory)
 {
     http::error_code ec;
     if (http::beast::iequals(parser.get()[http::bhttp::field::expect], "100-continue") && m_exchanges.empty()) {
@@ -145,6 +166,8 @@
         co_await http::asio::async_write(m_connection->socket(), http::asio::buffer(line), http::captureError(ec));
     }
     while (!ec && !parser.is_done()) {
+        if (!reserveBody(parser, memory))
+            co_return false;
         m_connection->closeAt(m_context.clock.now() + bodyReadTimeout);
         co_await http::bhttp::async_read_some(
             m_connection->socket(), m_connection->buffer(), parser, http::captureError(ec));
@@ -152,7 +175,19 @@
     m_connection->clearDeadline();
     if (ec)
         handleReadError(ec);
-    co_return !ec;
+    co_return !ec && reserveBody(parser, memory);
+}
+
+// Reserves memory for the body as far as it is known. Returns false, after queueing a rejection, if the budget does not
+// allow it.
+bool CallerSession::reserveBody(RequestParser& parser, limits::MemoryReservation& memory)
+{
+    const auto declared = parser.content_length();
+    const auto known = std::max<std::uint64_t>(declared ? *declared : 0, parser.get().body().capacity());
+    if (known <= memory.bytes() || memory.tryGrow(static_cast<std::size_t>(known - memory.bytes())))
+        return true;
+    rejectUnread(503, "the memory budget is used up");
+    return false;
 }
 
 // Queues a rejection of a malformed request, or records that the connection failed or ended.
@@ -163,24 +198,35 @@
         m_callerDisconnected = true;
         return;
     }
+    rejectUnread(rejection->status, rejection->reason);
+}
+
+// Queues the rejection of a request that was not read completely, after which the connection closes.
+void CallerSession::rejectUnread(unsigned status, const std::string& reason)
+{
     CallerResponse response;
-    response.message.result(rejection->status);
-    response.message.body() = rejection->reason + "\n";
+    response.message.result(status);
+    if (status == 503)
+        response.message.set(http::bhttp::field::retry_after, "1");
+    response.message.body() = reason + "\n";
     response.message.content_length(response.message.body().size());
     response.closesConnection = true;
-    m_context.log.write(observe::Level::Info, "request_malformed",
-        { { "status", std::to_string(rejection->status) }, { "reason", rejection->reason } });
+    m_context.log.write(observe::Level::Info, "request_rejected_unread",
+        { { "status", std::to_string(status) }, { "reason", reason } });
     auto exchange = std::make_shared<Exchange>();
     m_exchanges.push_back(exchange);
     queueResponse(exchange, std::move(response));
 }
 
-void CallerSession::startRequest(CallerRequest request, base::SteadyTime arrivedAt)
+void CallerSession::startRequest(
+    CallerRequest request, base::SteadyTime arrivedAt, std::unique_ptr<limits::MemoryReservation> memory)
 {
     auto exchange = std::make_shared<Exchange>();
+    m_hasServed = true;
     exchange->keepAlive = request.keep_alive();
     exchange->isHead = request.method() == http::bhttp::verb::head;
-    exchange->flow = std::make_shared<RequestFlow>(m_context, std::move(request), arrivedAt);
+    exchange->supportsChunked = request.version() >= 11;
+    exchange->flow = std::make_shared<RequestFlow>(m_context, std::move(request), arrivedAt, std::move(memory));
     m_exchanges.push_back(exchange);
     if (!exchange->keepAlive)
         m_closing = true;
@@ -214,8 +260,11 @@
 {
     while (!m_exchanges.empty() && m_exchanges.front()->response) {
         const auto exchange = m_exchanges.front();
+        const bool isLast = m_exchanges.size() == 1;
         const bool closesConnection
-            = exchange->response->closesConnection || !exchange->keepAlive || m_context.stopping;
+            = exchange->response->closesConnection || !exchange->keepAlive || (m_context.stopping && isLast);
+        // A request that is still being read is not started any more.
+        m_closing = m_closing || closesConnection;
         bool sent = false;
         if (!m_callerDisconnected)
             sent = co_await writeResponse(*exchange, closesConnection);
@@ -244,23 +293,82 @@
     auto& message = exchange.response->message;
     message.version(11);
     message.keep_alive(!closesConnection);
+    if (exchange.response->stream && !exchange.isHead)
+        co_return co_await writeStream(exchange, closesConnection);
     if (exchange.isHead)
         message.body().clear();
     http::error_code ec;
     http::bhttp::serializer<false, http::bhttp::string_body> serializer(message);
     if (exchange.isHead)
         co_await http::bhttp::async_write_header(m_connection->socket(), serializer, http::captureError(ec));
-    else
-        co_await http::bhttp::async_write(m_connection->socket(), serializer, http::captureError(ec));
+    while (!exchange.isHead && !ec && !serializer.is_done()) {
+        m_connection->closeAt(m_context.clock.now() + writeStallTimeout);
+        co_await http::bhttp::async_write_some(m_connection->socket(), serializer, http::captureError(ec));
+    }
+    m_connection->clearDeadline();
     co_return !ec;
 }
 
+// Relays a long body in pieces. If it breaks off, the connection is reset, so that the caller cannot take the part for
+// the whole.
+http::Awaitable<bool> CallerSession::writeStream(Exchange& exchange, bool closesConnection)
+{
+    auto& stream = *exchange.response->stream;
+    const auto& buffered = exchange.response->message.body();
+    StreamMessage message(exchange.response->message.base());
+    const auto length = stream.length();
+    if (length)
+        message.content_length(*length);
+    else if (exchange.supportsChunked)
+        message.chunked(true);
+    message.keep_alive(!closesConnection && (length || exchange.supportsChunked));
+    message.body().more = true;
+    StreamSerializer serializer(message);
+    std::string piece(streamPieceBytes, '\0');
+    bool sent = co_await writePiece(message, serializer, buffered.data(), buffered.size());
+    while (sent && !stream.isComplete()) {
+        const auto n = co_await stream.read(piece.data(), piece.size());
+        if (n == 0)
+            break;
+        sent = co_await writePiece(message, serializer, piece.data(), n);
+    }
+    const bool whole = stream.isComplete();
+    if (sent && whole)
+        sent = co_await writePiece(message, serializer, nullptr, 0);
+    if (sent && whole)
+        co_return length || exchange.supportsChunked;
+    m_context.log.write(observe::Level::Warning, "response_broken_off",
+        { { "by", whole || !sent ? "caller" : "target" },
+            { "request", std::string(message[m_context.names.requestId]) } });
+    stream.cancel();
+    m_connection->reset();
+    co_return false;
+}
+
+// Writes a piece of a body; an empty piece ends the body.
+http::Awaitable<bool> CallerSession::writePiece(
+    StreamMessage& message, StreamSerializer& serializer, const char* data, std::size_t size)
+{
+    auto& body = message.body();
+    // The serializer only reads from the buffer, although its type is not const.
+    body.data = const_cast<char*>(data);
+    body.size = size;
+    body.more = size != 0;
+    http::error_code ec;
+    m_connection->closeAt(m_context.clock.now() + writeStallTimeout);
+    co_await http::bhttp::async_write(m_connection->socket(), serializer, http::captureError(ec));
+    m_connection->clearDeadline();
+    co_return !ec || ec == http::bhttp::error::need_buffer;
+}
+
 http::Awaitable<void> CallerSession::closeConnection()
 {
     if (m_callerDisconnected) {
         for (const auto& it : m_exchanges) {
             if (it->flow)
                 it->flow->onCallerDisconnected();
+            if (it->response && it->response->stream)
+                it->response->stream->cancel();
         }
         m_connection->close();
         co_return;
@@ -277,9 +385,19 @@
 void CallerSession::stop()
 {
     http::error_code ec;
-    // If bytes have arrived, a request is pending and is served first.
-    if (m_idle && m_interruptible && m_connection->socket().available(ec) == 0)
+    if (m_idle && m_interruptible && mayCloseIdle())
         m_connection->socket().cancel(ec);
 }
 
+void CallerSession::endRequests()
+{
+    for (const auto& it : m_exchanges) {
+        if (it->flow)
+            it->flow->end();
+        // The end of the process would look like the end of a body without a length.
+        if (it->response && it->response->stream)
+            m_connection->reset();
+    }
+}
+
 } // namespace buckthorncroft::gateway
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -17,28 +17,45 @@
     /// Reads and serves requests until the connection ends.
     http::Awaitable<void> run();
 
-    /// Called when the process stops. Closes the connection if it is idle; a busy one closes after its responses.
+    /// Called when the process stops. Closes the connection if it is idle and, by the flags of the context, no longer
+    /// needed; a busy one closes after its responses.
     void stop();
 
+    /// Ends all requests in flight with their final response.
+    void endRequests();
+
 private:
+    using StreamMessage = http::bhttp::response<http::bhttp::buffer_body>;
+    using StreamSerializer = http::bhttp::response_serializer<http::bhttp::buffer_body>;
+
     /// One request and its response.
     struct Exchange {
         std::shared_ptr<RequestFlow> flow;
         std::optional<CallerResponse> response;
         bool keepAlive = true; ///< The caller requests a persistent connection.
         bool isHead = false; ///< The request is a HEAD request.
+        bool supportsChunked = true; ///< The caller understands a chunked response.
     };
 
     http::Awaitable<bool> readRequest();
     http::Awaitable<bool> waitForRequest();
     http::Awaitable<void> waitForDisconnect();
     bool allResponsesSent() const;
-    http::Awaitable<bool> readBody(http::bhttp::request_parser<http::bhttp::string_body>& parser);
-    void startRequest(CallerRequest request, base::SteadyTime arrivedAt);
+    bool mayCloseIdle();
+    using RequestParser = http::bhttp::request_parser<http::bhttp::string_body>;
+
+    http::Awaitable<bool> readBody(RequestParser& parser, limits::MemoryReservation& memory);
+    bool reserveBody(RequestParser& parser, limits::MemoryReservation& memory);
+    void startRequest(
+        CallerRequest request, base::SteadyTime arrivedAt, std::unique_ptr<limits::MemoryReservation> memory);
     void handleReadError(http::error_code ec);
+    void rejectUnread(unsigned status, const std::string& reason);
     void queueResponse(const std::shared_ptr<Exchange>& exchange, CallerResponse response);
     http::Awaitable<void> writeResponses();
     http::Awaitable<bool> writeResponse(Exchange& exchange, bool closesConnection);
+    http::Awaitable<bool> writeStream(Exchange& exchange, bool closesConnection);
+    http::Awaitable<bool> writePiece(
+        StreamMessage& message, StreamSerializer& serializer, const char* data, std::size_t size);
     void startWriting();
     http::Awaitable<void> closeConnection();
     routing::CallerLimits limits() const;
@@ -48,6 +65,7 @@
     std::deque<std::shared_ptr<Exchange>> m_exchanges; ///< Oldest first.
     http::asio::steady_timer m_responsesSentTimer; ///< Never expires; cancelled to wake the reader after a response.
     bool m_writing = false;
+    bool m_hasServed = false; ///< At least one request was read.
     bool m_closing = false; ///< No further request is read.
     bool m_lastResponseSent = false; ///< The response after which the connection closes was sent.
     bool m_interruptible = false; ///< The reader waits for data and may be cancelled.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -32,6 +32,9 @@
     // still connect.
     constexpr milliseconds listenerCloseDelay { 3600 };
 
+    // After the listener was closed, a connection without a request waits this long for its first one.
+    constexpr milliseconds firstRequestTimeout { 500 };
+
     // Reserved at the end of the grace period for the process to exit.
     constexpr milliseconds shutdownMargin { 400 };
 
@@ -152,11 +155,16 @@
             m_traffic.announceStop();
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
-            m_traffic.closeIdleCallerConnections();
+            m_traffic.closeKeptCallerConnections();
             co_await sleepUntil(std::min(startedAt + listenerCloseDelay, deadline));
             m_traffic.stopAccepting();
-            while (!m_traffic.isIdle() && m_clock.now() < deadline)
+            const auto idleCloseAt = m_clock.now() + firstRequestTimeout;
+            while (!m_traffic.isIdle() && m_clock.now() < deadline) {
                 co_await sleepUntil(m_clock.now() + drainPollInterval);
+                if (m_clock.now() >= idleCloseAt)
+                    m_traffic.closeIdleCallerConnections();
+            }
+            m_traffic.endActiveRequests();
             // Leaves time for the last responses to be written.
             co_await sleepUntil(m_clock.now() + drainPollInterval);
             m_io.stop();
--- a/src/gateway/gateway_traffic.cpp
+++ b/src/gateway/gateway_traffic.cpp
@@ -1,5 +1,6 @@
 #include "gateway_traffic.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace buckthorncroft::gateway {
@@ -86,12 +87,36 @@
     }
 }
 
+bool GatewayTraffic::isIdle() const
+{
+    return std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& it) { return it.expired(); });
+}
+
+void GatewayTraffic::stopIdleSessions()
+{
+    for (const auto& it : m_sessions) {
+        if (const auto session = it.lock())
+            session->stop();
+    }
+}
+
+void GatewayTraffic::closeKeptCallerConnections()
+{
+    m_context.closingKeptConnections = true;
+    stopIdleSessions();
+}
+
 void GatewayTraffic::closeIdleCallerConnections()
 {
     m_context.closingIdleConnections = true;
+    stopIdleSessions();
+}
+
+void GatewayTraffic::endActiveRequests()
+{
     for (const auto& it : m_sessions) {
         if (const auto session = it.lock())
-            session->stop();
+            session->endRequests();
     }
 }
 
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -22,14 +22,21 @@
     /// From now on each response carries `Connection: close`.
     void announceStop() { m_context.stopping = true; }
 
-    /// Closes caller connections without a request, now and whenever one becomes idle.
+    /// Closes caller connections that have carried a request and are idle, now and whenever one becomes idle. New
+    /// connections still wait for their first request.
+    void closeKeptCallerConnections();
+
+    /// Closes all caller connections without a request, now and whenever one becomes idle.
     void closeIdleCallerConnections();
 
+    /// Ends all requests in flight with their final response.
+    void endActiveRequests();
+
     /// Stops accepting connections. Those that already wait in the listen queue are still accepted and served.
     void stopAccepting();
 
-    /// Whether no request is in flight.
-    bool isIdle() const { return m_context.activeRequests == 0; }
+    /// Whether no caller connection is open, so that no request can be in flight or arrive.
+    bool isIdle() const;
 
     /// Closes the pooled connections to targets. Called after the machine was suspended, when they can no longer
     /// be used.
@@ -39,6 +46,7 @@
     http::Awaitable<void> acceptLoop();
     http::Awaitable<void> cleanupLoop();
     void startSession(http::tcp::socket socket);
+    void stopIdleSessions();
 
     TrafficContext& m_context;
     http::tcp::acceptor m_acceptor;
--- a/src/gateway/ready_endpoint.cpp
+++ b/src/gateway/ready_endpoint.cpp
@@ -13,6 +13,9 @@
 
     constexpr std::uint32_t maxHeaderBytes = 4096;
 
+    // Delay before accepting again after an error, so that a process without free file descriptors does not spin.
+    constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+
 } // namespace
 
 ReadyEndpoint::ReadyEndpoint(http::asio::io_context& io, std::function<Response(const std::string&)> respond)
@@ -55,8 +58,11 @@
         http::tcp::socket socket(m_io);
         http::error_code ec;
         co_await m_acceptor.async_accept(socket, http::captureError(ec));
-        if (ec)
+        if (ec) {
+            http::asio::steady_timer retryTimer(m_io, acceptRetryDelay);
+            co_await retryTimer.async_wait(http::captureError(ec));
             continue;
+        }
         http::asio::co_spawn(
             m_io, [this, socket = std::move(socket)]() mutable { return serve(std::move(socket)); },
             http::asio::detached);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -31,6 +31,9 @@
     constexpr milliseconds routesTimeout { 600 };
     constexpr milliseconds routesCheckInterval { 20 };
 
+    // A longer deadline of a caller is shortened to this.
+    constexpr milliseconds maxDeadline { 24 * 3'600'000 };
+
     // An attempt with less time than this cannot succeed.
     constexpr milliseconds minAttemptTime { 100 };
 
@@ -41,16 +44,45 @@
         const auto [ptr, error] = std::from_chars(text.data(), text.data() + text.size(), value);
         if (text.empty() || error != std::errc() || ptr != text.data() + text.size() || value <= 0)
             return std::nullopt;
-        return milliseconds(value);
+        return std::min(milliseconds(value), maxDeadline);
+    }
+
+    // Reports the end of an attempt, which releases its slot, and what its target announced.
+    void reportEnd(TrafficContext& context, const AttemptSlot& slot, const TargetAttempt& attempt)
+    {
+        const auto& target = attempt.target();
+        const auto& notice = attempt.notice();
+        routing::DispatchOutcome outcome { {}, slot.grant, target.id, slot.kind, attempt.verdict(), attempt.latency() };
+        outcome.targetLeaving = notice.isLeaving;
+        outcome.targetStartedAtUnixMs = target.startedAtUnixMs;
+        outcome.retryAfter = notice.retryAfter;
+        if (notice.retryAfter.count() > 0)
+            context.pauses.add(target.id, notice.retryAfter, context.clock.now());
+        context.placement.report(slot.service, slot.point, outcome);
+        context.log.write(observe::Level::Info, "attempt_ended",
+            { { "request", slot.request }, { "target", target.id }, { "verdict", health::toString(attempt.verdict()) },
+                { "ms", fmt::format("{:.1f}", static_cast<double>(attempt.latency().count()) / 1000) },
+                { "reused", attempt.reused() ? "yes" : "no" }, { "reason", attempt.reason() } });
+    }
+
+    void releaseSlot(
+        TrafficContext& context, const std::string& service, config::RequestKind kind, const SlotResult& slot)
+    {
+        if (slot.decision.grant) {
+            context.placement.report(
+                service, slot.point, { {}, slot.decision.grant, slot.decision.target, kind, Verdict::Cancelled });
+        }
     }
 
 } // namespace
 
-RequestFlow::RequestFlow(TrafficContext& context, CallerRequest request, base::SteadyTime arrivedAt)
+RequestFlow::RequestFlow(TrafficContext& context, CallerRequest request, base::SteadyTime arrivedAt,
+    std::unique_ptr<limits::MemoryReservation> memory)
     : m_context(context)
     , m_request(std::move(request))
     , m_arrivedAt(arrivedAt)
     , m_id(m_request[context.names.requestId])
+    , m_memory(std::move(memory))
     , m_timer(context.io)
 {
     ++m_context.activeRequests;
@@ -67,9 +99,17 @@
     if (auto response = findRoute())
         co_return std::move(*response);
     prepareForwardedRequest();
-    auto response = co_await runAttempts();
+    std::optional<CallerResponse> response;
+    std::string problem;
+    try {
+        response = co_await runAttempts();
+    } catch (const std::exception& error) {
+        problem = error.what();
+    }
+    if (!response)
+        response = fail("internal error: " + problem);
     cancelPending();
-    co_return response;
+    co_return std::move(*response);
 }
 
 http::Awaitable<void> RequestFlow::waitForRoutes()
@@ -82,8 +122,7 @@
     }
 }
 
-// Checks the request, finds its route, reserves memory for its body and chooses the service. Returns a rejection if one
-// of these steps fails.
+// Checks the request, finds its route and chooses the service. Returns a rejection if one of these steps fails.
 RequestFlow::MaybeResponse RequestFlow::findRoute()
 {
     const auto framing = http::checkRequestHead(m_request.base());
@@ -104,9 +143,6 @@
         = std::min(parseDeadlineHeader(m_request, m_context.names).value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrivedAt + timeLimit - responseMargin;
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
-    m_memory.emplace(m_context.memory);
-    if (!m_memory->tryGrow(m_request.body().size()))
-        return reject(503, "the memory budget is used up");
     m_service = routing::chooseService(*m_route, std::uniform_real_distribution<double>(0, 1)(m_context.random));
     return std::nullopt;
 }
@@ -123,7 +159,6 @@
     m_forwardedRequest->id = m_id;
     m_forwardedRequest->kind = m_route->kind;
     m_forwardedRequest->deadline = m_deadline;
-    m_forwardedRequest->maxResponseBytes = m_snapshot->routes->routeSet().limits.maxBodyBytes;
 }
 
 http::Awaitable<CallerResponse> RequestFlow::runAttempts()
@@ -166,6 +201,8 @@
     }
     if (auto response = handleEndedAttempts())
         return response;
+    if (m_ending)
+        return fail("the instance stops");
     if (m_context.clock.now() >= m_deadline)
         return fail("the deadline has passed");
     reportOverdueAttempts();
@@ -193,11 +230,35 @@
             candidates.push_back(id);
     }
     request.connectedTargets = m_context.pool.connectedTargets(candidates);
-    m_slotRequest
-        = m_context.placement.requestSlot(std::move(query), [weak = weak_from_this()](const SlotResult& slot) {
-              if (const auto self = weak.lock())
-                  self->handleSlotResult(slot);
-          });
+    excludePausedTargets(candidates, request.excluded);
+    auto onResult = [weak = weak_from_this(), &context = m_context, service = m_service, kind = m_route->kind](
+                        const SlotResult& slot) {
+        if (const auto self = weak.lock())
+            self->handleSlotResult(slot);
+        else
+            releaseSlot(context, service, kind, slot); // The request ended before the grant arrived.
+    };
+    m_slotRequest = m_context.placement.requestSlot(std::move(query), std::move(onResult));
+}
+
+void RequestFlow::excludePausedTargets(const std::vector<std::string>& candidates, std::vector<std::string>& excluded)
+{
+    const auto now = m_context.clock.now();
+    std::optional<base::SteadyTime> firstEnd;
+    for (const auto& it : candidates) {
+        const auto end = m_context.pauses.end(it, now);
+        if (end)
+            excluded.push_back(it);
+        firstEnd = std::min(firstEnd.value_or(base::SteadyTime::max()), end.value_or(base::SteadyTime {}));
+    }
+    m_pauseEnd = firstEnd.value_or(base::SteadyTime {});
+}
+
+// A target can have become unusable while its slot was being granted.
+bool RequestFlow::mayUse(const membership::DirectoryEntry* target) const
+{
+    const auto now = m_context.clock.now();
+    return target && !target->record.draining && !m_context.pauses.end(target->record.id, now);
 }
 
 void RequestFlow::handleSlotResult(const SlotResult& slot)
@@ -211,15 +272,13 @@
     }
     const auto snapshot = m_context.snapshots.read();
     const auto* entry = snapshot->targets->find(m_service, decision.target);
-    const bool usable = entry && !entry->record.draining && !m_callerDisconnected && m_context.clock.now() < m_deadline;
-    if (usable) {
+    const bool isWanted = !m_callerDisconnected && !m_ending && m_context.clock.now() < m_deadline;
+    if (isWanted && mayUse(entry)) {
         startAttempt(slot, entry->record);
     } else {
-        // Releases the slot. If the target is draining or gone, the dispatch point has not yet received that change.
-        m_context.placement.report(
-            m_service, slot.point, { {}, decision.grant, decision.target, m_route->kind, Verdict::Cancelled });
+        releaseSlot(m_context, m_service, m_route->kind, slot);
         m_excludedTargets.push_back(decision.target);
-        if (!m_callerDisconnected && m_context.clock.now() < m_deadline)
+        if (isWanted)
             requestSlot();
     }
     wake();
@@ -235,12 +294,10 @@
             { "risk", fmt::format("{:.2f}", slot.decision.risk) },
             { "waiting", std::to_string(slot.decision.queuedRequests) } });
     RunningAttempt running;
-    running.point = slot.point;
-    running.grant = slot.decision.grant;
+    running.slot = { m_id, m_service, m_route->kind, slot.point, slot.decision.grant };
     const auto overdueDelay = duration_cast<milliseconds>(m_route->latencyObjective * overdueFraction);
     running.overdueAt = m_context.clock.now() + std::max(minOverdueDelay, overdueDelay);
-    running.attempt = std::make_shared<TargetAttempt>(
-        m_context.io, m_context.clock, m_context.pool, m_context.names, m_forwardedRequest, target);
+    running.attempt = std::make_shared<TargetAttempt>(m_context, m_forwardedRequest, target);
     running.attempt->start([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->wake();
@@ -250,15 +307,15 @@
 
 void RequestFlow::reportAttempt(RunningAttempt& it)
 {
-    if (std::exchange(it.reported, true))
-        return;
-    const auto& attempt = *it.attempt;
-    m_context.placement.report(m_service, it.point,
-        { {}, it.grant, attempt.target().id, m_route->kind, attempt.verdict(), attempt.latency() });
-    m_context.log.write(observe::Level::Info, "attempt_ended",
-        { { "request", m_id }, { "target", attempt.target().id }, { "verdict", health::toString(attempt.verdict()) },
-            { "ms", fmt::format("{:.1f}", static_cast<double>(attempt.latency().count()) / 1000) },
-            { "reused", attempt.reused() ? "yes" : "no" }, { "reason", attempt.reason() } });
+    if (!std::exchange(it.reported, true))
+        reportEnd(m_context, it.slot, *it.attempt);
+}
+
+// The slot is in use until the body ends, so the attempt is reported then.
+std::shared_ptr<StreamedBody> RequestFlow::makeStream(const RunningAttempt& running)
+{
+    return std::make_shared<StreamedBody>(running.attempt,
+        [&context = m_context, slot = running.slot, attempt = running.attempt] { reportEnd(context, slot, *attempt); });
 }
 
 RequestFlow::MaybeResponse RequestFlow::handleEndedAttempts()
@@ -270,30 +327,31 @@
         }
         auto ended = std::move(m_runningAttempts[i]);
         m_runningAttempts.erase(m_runningAttempts.begin() + static_cast<std::ptrdiff_t>(i));
-        reportAttempt(ended);
         if (auto response = evaluateAttempt(ended))
             return response;
     }
     return std::nullopt;
 }
 
-// Returns the response if the attempt determines it; otherwise the request is retried or fails.
+// Reports the attempt, and returns the response if the attempt determines it; otherwise the request is retried or
+// fails.
 RequestFlow::MaybeResponse RequestFlow::evaluateAttempt(RunningAttempt& ended)
 {
     auto& attempt = *ended.attempt;
     m_lastAttemptReason = attempt.reason();
-    switch (attempt.state()) {
-    case AttemptState::Answered:
-        if (attempt.verdict() == Verdict::Good || !isIdempotent())
-            return relay(attempt);
+    const bool isAnswered = attempt.state() == AttemptState::Answered;
+    const bool isFinal = isAnswered && (attempt.verdict() == Verdict::Good || !isIdempotent());
+    if (isFinal && attempt.hasMoreBody())
+        return relay(attempt, makeStream(ended));
+    if (attempt.hasMoreBody())
+        attempt.cancel();
+    reportAttempt(ended);
+    if (isFinal)
+        return relay(attempt);
+    if (isAnswered && !attempt.hasMoreBody())
         m_fallback = ended.attempt;
-        break;
-    case AttemptState::NotRun:
-        break;
-    default:
+    else if (attempt.state() != AttemptState::NotRun)
         m_mayHaveRun = true;
-        break;
-    }
     return std::nullopt;
 }
 
@@ -325,9 +383,9 @@
         if (it.overdue || now < it.overdueAt)
             continue;
         it.overdue = true;
-        routing::DispatchOutcome outcome { {}, it.grant, it.attempt->target().id, m_route->kind };
+        routing::DispatchOutcome outcome { {}, it.slot.grant, it.attempt->target().id, m_route->kind };
         outcome.overdue = true;
-        m_context.placement.report(m_service, it.point, outcome);
+        m_context.placement.report(m_service, it.slot.point, outcome);
         if (isIdempotent() && !m_slotRequest && canRetry())
             requestSlot();
     }
@@ -343,7 +401,7 @@
     return reject(m_context.clock.now() >= m_deadline ? 504 : 502, reason);
 }
 
-CallerResponse RequestFlow::relay(TargetAttempt& attempt)
+CallerResponse RequestFlow::relay(TargetAttempt& attempt, std::shared_ptr<StreamedBody> stream)
 {
     CallerResponse result;
     result.message.base() = attempt.head();
@@ -352,8 +410,11 @@
     const bool bodyless = http::responseHasNoBody(m_request.method(), status);
     if (!bodyless) {
         result.message.body() = std::move(attempt.body());
+        result.memory = attempt.takeBodyMemory();
         result.message.erase(http::bhttp::field::content_length);
-        result.message.content_length(result.message.body().size());
+        if (!stream)
+            result.message.content_length(result.message.body().size());
+        result.stream = std::move(stream);
     }
     recordResponse(status, attempt.reason());
     return result;
@@ -370,6 +431,7 @@
     if (status == 503) {
         const auto now = m_context.clock.now();
         auto wait = m_slotRefusal && m_slotRefusal->retryAfter.count() ? m_slotRefusal->retryAfter : defaultRetryAfter;
+        wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
         if (m_route)
             wait = std::min(wait, duration_cast<milliseconds>((m_deadline - now) * maxRetryAfterFraction));
         message.set(http::bhttp::field::retry_after,
@@ -409,6 +471,12 @@
     m_runningAttempts.clear();
 }
 
+void RequestFlow::end()
+{
+    m_ending = true;
+    wake();
+}
+
 void RequestFlow::onCallerDisconnected()
 {
     m_callerDisconnected = true;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "streamed_body.h"
 #include "target_attempt.h"
 #include "traffic_context.h"
 
@@ -16,15 +17,28 @@
 /// The response to a caller.
 struct CallerResponse {
     http::bhttp::response<http::bhttp::string_body> message;
+    std::unique_ptr<limits::MemoryReservation> memory {}; ///< Covers the body of `message`; null for a short text.
+    std::shared_ptr<StreamedBody> stream {}; ///< The rest of a long body, of which `message` holds the buffered part.
     bool closesConnection = false; ///< The connection must be closed after it.
 };
 
+/// The slot of an attempt, as it is reported when the attempt ends.
+struct AttemptSlot {
+    std::string request; ///< Request id as the caller sent it.
+    std::string service;
+    config::RequestKind kind = config::RequestKind::NonIdempotent;
+    std::string point; ///< Instance whose dispatch point granted the slot.
+    std::uint64_t grant = 0;
+};
+
 /// Processes one request: finds the route, requests slots, runs attempts and returns the response. Runs on the traffic
 /// thread.
 class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
 public:
     /// `arrivedAt`: when the first byte of the request was received.
-    RequestFlow(TrafficContext& context, CallerRequest request, base::SteadyTime arrivedAt);
+    /// `memory`: the reservation for the request's body.
+    RequestFlow(TrafficContext& context, CallerRequest request, base::SteadyTime arrivedAt,
+        std::unique_ptr<limits::MemoryReservation> memory);
     ~RequestFlow();
     RequestFlow(const RequestFlow&) = delete;
     RequestFlow& operator=(const RequestFlow&) = delete;
@@ -36,14 +50,16 @@
     /// idempotent request are cancelled.
     void onCallerDisconnected();
 
+    /// Ends the request with its final response, because the process is about to exit.
+    void end();
+
 private:
     using MaybeResponse = std::optional<CallerResponse>;
 
     /// An attempt and the slot that it uses.
     struct RunningAttempt {
         std::shared_ptr<TargetAttempt> attempt;
-        std::string point; ///< Instance whose dispatch point granted the slot.
-        std::uint64_t grant = 0;
+        AttemptSlot slot;
         base::SteadyTime overdueAt;
         bool overdue = false;
         bool reported = false;
@@ -63,9 +79,12 @@
     MaybeResponse retryOrFail();
     void reportOverdueAttempts();
     MaybeResponse fail(const std::string& reason);
-    CallerResponse relay(TargetAttempt& attempt);
+    CallerResponse relay(TargetAttempt& attempt, std::shared_ptr<StreamedBody> stream = nullptr);
     CallerResponse reject(unsigned status, const std::string& reason);
     void reportAttempt(RunningAttempt& it);
+    std::shared_ptr<StreamedBody> makeStream(const RunningAttempt& attempt);
+    bool mayUse(const membership::DirectoryEntry* target) const;
+    void excludePausedTargets(const std::vector<std::string>& candidates, std::vector<std::string>& excluded);
     void cancelPending();
     void wake();
     base::SteadyTime nextWakeAt() const;
@@ -82,17 +101,19 @@
     std::string m_service;
     std::string m_id;
     std::shared_ptr<ForwardedRequest> m_forwardedRequest;
-    std::optional<limits::MemoryReservation> m_memory; ///< Covers the body of the request.
+    std::unique_ptr<limits::MemoryReservation> m_memory; ///< Covers the body of the request.
     http::asio::steady_timer m_timer;
     std::vector<RunningAttempt> m_runningAttempts;
     std::vector<std::string> m_excludedTargets; ///< Ids of targets that must not receive the request.
     std::optional<std::uint64_t> m_slotRequest; ///< Token of the pending slot request.
     std::optional<routing::DispatchDecision> m_slotRefusal; ///< Set if the latest slot request was refused.
+    base::SteadyTime m_pauseEnd {}; ///< When the first target ends its pause; the epoch if one has none.
     std::shared_ptr<TargetAttempt> m_fallback; ///< Complete response with an error; relayed if no attempt succeeds.
     std::string m_lastAttemptReason; ///< Why the latest ended attempt failed.
     unsigned m_attemptCount = 0; ///< Attempts that were started.
     bool m_mayHaveRun = false; ///< A failed attempt may have run the request.
     bool m_callerDisconnected = false;
+    bool m_ending = false; ///< The process is about to exit.
 };
 
 } // namespace buckthorncroft::gateway
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace buckthorncroft::gateway {
@@ -18,8 +19,12 @@
 
     // Used for targets that don't send their idle timeout in the Keep-Alive header.
     constexpr milliseconds defaultIdleTimeout { 4000 };
+    constexpr milliseconds maxIdleTimeout { 600'000 };
+
+    // Maximum time in which the target must fill a piece of a long body after the deadline. A slow caller may be the
+    // reason that the body lasts longer, a slow target may not.
+    constexpr milliseconds latePieceTimeout { 1000 };
 
-    constexpr std::size_t readChunkBytes = std::size_t { 32 } * 1024;
     constexpr unsigned misdirectedRequestStatus = 421;
 
     http::CallRules makeCallRules(const HeaderNames& names)
@@ -41,26 +46,38 @@
         unsigned seconds = 0;
         const auto* begin = text.data() + place + std::string_view("timeout=").size();
         const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
-        return error == std::errc() ? milliseconds(std::chrono::seconds(seconds)) : defaultIdleTimeout;
+        return error == std::errc() ? std::min<milliseconds>(std::chrono::seconds(seconds), maxIdleTimeout)
+                                    : defaultIdleTimeout;
+    }
+
+    // Returns the time in a Retry-After header in seconds, at most `TargetPauses::maxPause`, or 0 if there is none. A
+    // date is ignored, because the clocks of the target and of this machine may differ.
+    milliseconds parseRetryAfter(const http::bhttp::response_header<>& head)
+    {
+        const auto text = head[http::bhttp::field::retry_after];
+        double seconds = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(seconds) || seconds <= 0)
+            return milliseconds(0);
+        const std::chrono::duration<double> limit(TargetPauses::maxPause);
+        return duration_cast<milliseconds>(std::min(limit, std::chrono::duration<double>(seconds)));
     }
 
 } // namespace
 
-TargetAttempt::TargetAttempt(http::asio::io_context& io, const base::Clock& clock, ConnectionPool& pool,
-    const HeaderNames& names, std::shared_ptr<const ForwardedRequest> request, membership::TargetRecord target)
-    : m_io(io)
-    , m_clock(clock)
-    , m_pool(pool)
-    , m_names(names)
+TargetAttempt::TargetAttempt(
+    TrafficContext& context, std::shared_ptr<const ForwardedRequest> request, membership::TargetRecord target)
+    : m_context(context)
     , m_request(std::move(request))
     , m_target(std::move(target))
-    , m_startedAt(clock.now())
+    , m_bodyMemory(std::make_unique<limits::MemoryReservation>(context.memory))
+    , m_startedAt(context.clock.now())
 {
 }
 
 std::chrono::microseconds TargetAttempt::latency() const
 {
-    const auto until = m_state == AttemptState::Running ? m_clock.now() : m_endedAt;
+    const auto until = m_state == AttemptState::Running ? m_context.clock.now() : m_endedAt;
     return duration_cast<std::chrono::microseconds>(until - m_startedAt);
 }
 
@@ -68,7 +85,7 @@
 {
     m_onEnded = std::move(onEnded);
     http::asio::co_spawn(
-        m_io, [self = shared_from_this()] { return self->run(); }, http::asio::detached);
+        m_context.io, [self = shared_from_this()] { return self->run(); }, http::asio::detached);
 }
 
 void TargetAttempt::cancel()
@@ -100,19 +117,19 @@
 
 http::Awaitable<bool> TargetAttempt::connect()
 {
-    m_connection = m_pool.take(m_target.id, m_target.startedAtUnixMs, !isIdempotent());
+    m_connection = m_context.pool.take(m_target.id, m_target.startedAtUnixMs, !isIdempotent());
     if (m_connection) {
         m_reused = true;
-        m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_names));
+        m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names));
         co_return true;
     }
-    m_connection = std::make_shared<http::Connection>(m_io);
-    m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_names));
+    m_connection = std::make_shared<http::Connection>(m_context.io);
+    m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names));
     http::error_code ec;
     const auto address = http::asio::ip::make_address(m_target.host, ec);
     if (ec)
         co_return false;
-    m_connection->closeAt(std::min(m_request->deadline, m_clock.now() + connectTimeout));
+    m_connection->closeAt(std::min(m_request->deadline, m_context.clock.now() + connectTimeout));
     const bool connected = co_await m_call->connect({ address, m_target.port });
     co_return connected && !m_connection->timedOut();
 }
@@ -121,17 +138,17 @@
 {
     auto head = m_request->head;
     head.version(11);
-    head.set(m_names.requestId, m_request->id);
-    const auto remaining = duration_cast<milliseconds>(m_request->deadline - m_clock.now()).count();
-    head.set(m_names.deadline, std::to_string(std::max<std::int64_t>(1, remaining)));
-    head.set(m_names.expectedTarget, m_target.id);
+    head.set(m_context.names.requestId, m_request->id);
+    const auto remaining = duration_cast<milliseconds>(m_request->deadline - m_context.clock.now()).count();
+    head.set(m_context.names.deadline, std::to_string(std::max<std::int64_t>(1, remaining)));
+    head.set(m_context.names.expectedTarget, m_target.id);
     return head;
 }
 
 http::Awaitable<http::CallResult> TargetAttempt::sendAndReceive()
 {
     m_connection->closeAt(m_request->deadline);
-    if (m_clock.now() >= m_request->deadline)
+    if (m_context.clock.now() >= m_request->deadline)
         co_return http::CallResult::TimedOut;
     m_sent = true;
     // The response is read even if sending fails: a target that rejects a request early may have responded before it
@@ -139,25 +156,40 @@
     co_await m_call->send(makeRequestHead(), m_request->body, m_request->hasBody);
     if (m_cancelled)
         co_return http::CallResult::Cancelled;
-    const auto result = co_await m_call->readResponse(m_request->head.method(), m_request->id);
-    if (m_cancelled || result != http::CallResult::Answered)
-        co_return result;
-    const bool whole = co_await readRemainingBody();
-    co_return whole ? http::CallResult::Answered : http::CallResult::Truncated;
+    co_return co_await m_call->readResponse(m_request->head.method(), m_request->id);
 }
 
-http::Awaitable<bool> TargetAttempt::readRemainingBody()
+http::Awaitable<std::size_t> TargetAttempt::readBody(char* data, std::size_t size)
 {
-    m_body = m_call->bufferedBody();
-    while (!m_call->isComplete() && m_body.size() < m_request->maxResponseBytes) {
-        const auto old = m_body.size();
-        m_body.resize(old + readChunkBytes);
-        const auto n = co_await m_call->readSome(m_body.data() + old, readChunkBytes);
-        m_body.resize(old + n);
-        if (n == 0 || m_cancelled)
+    if (!m_connection)
+        co_return 0;
+    const auto connection = m_connection;
+    const auto now = m_context.clock.now();
+    const bool isLate = now >= m_request->deadline;
+    connection->closeAt(std::max(m_request->deadline, now + latePieceTimeout));
+    auto total = co_await m_call->readSome(data, size);
+    while (isLate && total > 0 && total < size && !m_call->isComplete()) {
+        const auto n = co_await m_call->readSome(data + total, size - total);
+        if (n == 0)
             break;
+        total += n;
     }
-    co_return m_call->isComplete();
+    // The time that the caller takes for the piece is not the target's.
+    connection->clearDeadline();
+    co_return total;
+}
+
+void TargetAttempt::endBody()
+{
+    m_endedAt = m_context.clock.now();
+    if (!m_cancelled && isBodyComplete()) {
+        returnConnectionToPool();
+    } else {
+        m_verdict = m_cancelled ? Verdict::Cancelled : Verdict::Truncated;
+        m_reason = "the answer broke off";
+    }
+    if (m_connection)
+        m_connection->close();
 }
 
 void TargetAttempt::classify(http::CallResult result)
@@ -179,24 +211,47 @@
     }
 }
 
+// Reads what the target announces besides its response to the request.
+void TargetAttempt::readNotice()
+{
+    const auto& head = m_call->head();
+    const auto status = head.result_int();
+    // This status may come from another target that has the address now.
+    if (status == misdirectedRequestStatus)
+        return;
+    m_notice.isLeaving = head[m_context.names.leaving] == "1";
+    if (status == 503)
+        m_notice.retryAfter = parseRetryAfter(head);
+}
+
 void TargetAttempt::classifyResponse()
 {
+    readNotice();
     const auto& head = m_call->head();
     const auto status = head.result_int();
-    if (!head[m_names.notRun].empty() || status == misdirectedRequestStatus) {
+    if (!head[m_context.names.notRun].empty() || status == misdirectedRequestStatus) {
         returnConnectionToPool();
         conclude(AttemptState::NotRun, Verdict::Shed, fmt::format("the target refused with {}", status));
         return;
     }
     // A response that was re-encoded in transit does not count as signed.
-    const bool isSigned = !head[m_names.signature].empty() && head[m_names.requestId] == m_request->id
+    const bool isSigned = !head[m_context.names.signature].empty() && head[m_context.names.requestId] == m_request->id
         && head[http::bhttp::field::content_encoding].empty();
     if (!isSigned) {
         const auto verdict = status >= 500 ? Verdict::Error : Verdict::Mismatched;
         conclude(AttemptState::Failed, verdict, fmt::format("answer {} is not signed for this request", status));
         return;
     }
-    returnConnectionToPool();
+    m_body = m_call->takeBufferedBody();
+    if (!m_bodyMemory->tryGrow(m_body.capacity())) {
+        conclude(AttemptState::Failed, Verdict::Cancelled, "the memory budget is used up");
+        return;
+    }
+    m_hasMoreBody = !m_call->isComplete();
+    if (m_hasMoreBody)
+        m_connection->clearDeadline();
+    else
+        returnConnectionToPool();
     conclude(AttemptState::Answered, status >= 500 ? Verdict::Error : Verdict::Good,
         status >= 500 ? fmt::format("the target answered {}", status) : "");
 }
@@ -205,7 +260,8 @@
 {
     if (!m_call->isReusable())
         return;
-    m_pool.put(m_target.id, m_target.startedAtUnixMs, m_call->takeConnection(), parseIdleTimeout(m_call->head()));
+    m_context.pool.put(
+        m_target.id, m_target.startedAtUnixMs, m_call->takeConnection(), parseIdleTimeout(m_call->head()));
     m_connection.reset();
 }
 
@@ -214,10 +270,10 @@
     m_state = state;
     m_verdict = verdict;
     m_reason = std::move(reason);
-    m_endedAt = m_clock.now();
+    m_endedAt = m_context.clock.now();
     if (m_connection && m_connection->timedOut() && !m_cancelled)
         m_verdict = m_sent ? Verdict::TimedOut : Verdict::ConnectFailed;
-    if (m_connection)
+    if (m_connection && !m_hasMoreBody)
         m_connection->close();
 }
 
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -3,6 +3,7 @@
 #include "connection_pool.h"
 #include "header_names.h"
 #include "placement_client.h"
+#include "target_pauses.h"
 
 #include <atomic>
 #include <buckthorncroft/base/clock.h>
@@ -66,9 +67,11 @@
     limits::MemoryBudget& memory;
     ConnectionPool pool;
     std::mt19937_64 random;
+    TargetPauses pauses {}; ///< Targets that refuse requests of this instance.
     std::size_t activeRequests = 0; ///< Requests in flight.
     bool stopping = false; ///< Each response carries `Connection: close`.
-    bool closingIdleConnections = false; ///< Caller connections without a request are closed.
+    bool closingKeptConnections = false; ///< Caller connections are closed when idle after their first request.
+    bool closingIdleConnections = false; ///< All caller connections without a request are closed.
 };
 
 } // namespace buckthorncroft::gateway
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace buckthorncroft::http {
 
@@ -67,6 +68,7 @@
 
     const bhttp::response_header<>& head() const { return m_parser->get().base(); }
     const std::string& bufferedBody() const { return m_bufferedBody; }
+    std::string takeBufferedBody() { return std::exchange(m_bufferedBody, {}); }
     bool isComplete() const { return m_parser && m_parser->is_done() && !m_failed; }
     std::optional<std::uint64_t> contentLength() const;
 
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -3,6 +3,8 @@
 
 #include "flow_fixture.h"
 
+#include <future>
+
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
 using config::RequestKind;
@@ -105,3 +107,145 @@
     BOOST_TEST(headerOf(message, "Connection") == "close");
     BOOST_TEST(caller->waitForPeerClose());
 }
+
+namespace {
+
+/// A target that waits for `release` before each response, and counts its requests.
+struct HeldTarget {
+    explicit HeldTarget(FlowFixture& fixture)
+        : target([this, &fixture](RawConnection& peer, unsigned) {
+            const auto request = peer.readMessage();
+            ++requestCount;
+            while (!released)
+                std::this_thread::sleep_for(1ms);
+            const auto id = headerOf(request, fixture.names.requestId);
+            peer.send(fixture.response(id, "body " + id));
+        })
+    {
+    }
+    ~HeldTarget() { released = true; }
+    HeldTarget(const HeldTarget&) = delete;
+    HeldTarget& operator=(const HeldTarget&) = delete;
+
+    void waitForRequests(unsigned n) const
+    {
+        while (requestCount < n)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    std::atomic<bool> released { false };
+    std::atomic<unsigned> requestCount { 0 };
+    RawTarget target;
+};
+
+} // namespace
+
+// Guards against a request that reaches a target although the connection closes before its response: it was sent behind
+// another one while the process stops.
+BOOST_FIXTURE_TEST_CASE(requestBehindTheLastResponseIsNotStarted, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    held.waitForRequests(1);
+    http::asio::post(io, [this] { context.stopping = true; });
+    caller->send(request("2", "POST", "b"));
+    std::this_thread::sleep_for(100ms);
+    held.released = true;
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.ends_with("body 1"));
+    BOOST_TEST(headerOf(message, "Connection") == "close");
+    BOOST_TEST(caller->waitForPeerClose());
+    BOOST_TEST(held.requestCount == 1u);
+}
+
+// Guards against a response that is lost because the connection closes after an earlier one. Both requests were at
+// their targets when the process began to stop.
+BOOST_FIXTURE_TEST_CASE(stopAnswersAllRequestsThatWereStarted, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a") + request("2", "POST", "b"));
+    held.waitForRequests(2);
+    http::asio::post(io, [this] { context.stopping = context.closingKeptConnections = true; });
+    std::this_thread::sleep_for(20ms);
+    held.released = true;
+    BOOST_TEST(headerOf(caller->readMessage(), "Connection").empty());
+    const auto last = caller->readMessage();
+    BOOST_TEST(last.ends_with("body 2"));
+    BOOST_TEST(headerOf(last, "Connection") == "close");
+    BOOST_TEST(caller->waitForPeerClose());
+}
+
+// Guards against a stop that closes a connection which was accepted late and whose request is on its way, and against
+// one that keeps idle connections.
+BOOST_FIXTURE_TEST_CASE(stopServesNewConnectionsAndClosesKeptOnes, FlowFixture)
+{
+    HeldTarget held(*this);
+    held.released = true;
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto kept = start();
+    kept->send(request("1", "POST", "a"));
+    BOOST_TEST(kept->readMessage().ends_with("body 1"));
+    std::promise<std::shared_ptr<RawConnection>> accepted;
+    http::asio::post(io, [&] {
+        context.stopping = context.closingKeptConnections = true;
+        accepted.set_value(connectCaller());
+    });
+    const auto late = accepted.get_future().get();
+    std::this_thread::sleep_for(100ms);
+    late->send(request("2", "POST", "b"));
+    const auto message = late->readMessage();
+    BOOST_TEST(message.ends_with("body 2"));
+    BOOST_TEST(headerOf(message, "Connection") == "close");
+    kept->send(request("3", "POST", "c"));
+    BOOST_TEST(kept->readMessage().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(kept->waitForPeerClose());
+}
+
+// Guards against a request whose connection closes without a response at the end of the grace period.
+BOOST_FIXTURE_TEST_CASE(requestsGetAFinalResponseBeforeTheProcessExits, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 9000ms);
+    placement.grants = { "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    held.waitForRequests(1);
+    http::asio::post(io, [this] {
+        context.stopping = true;
+        for (const auto& it : sessions) {
+            if (const auto session = it.lock())
+                session->endRequests();
+        }
+    });
+    BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 502"));
+    BOOST_TEST(caller->waitForPeerClose());
+}
+
+// Guards against request bodies that fill the memory before their size is checked.
+BOOST_FIXTURE_TEST_CASE(bodiesBeyondTheMemoryBudgetAreRejected, FlowFixture)
+{
+    const auto caller = start();
+    caller->send("POST /r/x HTTP/1.1\r\nHost: h\r\n" + names.requestId
+        + ": 1\r\nContent-Length: " + std::to_string(memory.limit() + 1) + "\r\n\r\nfirst bytes");
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(!headerOf(message, "Retry-After").empty());
+    const auto chunkedCaller = connectCaller();
+    chunkedCaller->send(
+        "POST /r/x HTTP/1.1\r\nHost: h\r\n" + names.requestId + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n2000000\r\n");
+    const std::string piece(1 << 20, 'x');
+    for (std::size_t n = 0; n <= memory.limit() / piece.size() && chunkedCaller->sendFor(piece, 1000ms); ++n) { }
+    BOOST_TEST(chunkedCaller->readMessage().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(placement.slotRequests.empty());
+}
--- a/tests/gateway/flow_fixture.h
+++ b/tests/gateway/flow_fixture.h
@@ -5,6 +5,7 @@
 
 #include <buckthorncroft/gateway/settings.h>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <optional>
 
@@ -33,7 +34,8 @@
             result.decision.refusal = routing::DispatchRefusal::Overloaded;
             result.decision.retryAfter = 250ms;
         }
-        http::asio::post(m_io, [this, result, done = std::move(done)] {
+        const auto timer = std::make_shared<http::asio::steady_timer>(m_io, slotDelay);
+        timer->async_wait([this, timer, result, done = std::move(done)](http::error_code) {
             if (beforeSlotResult)
                 beforeSlotResult();
             done(result);
@@ -52,12 +54,21 @@
     std::vector<routing::DispatchRequest> slotRequests;
     std::vector<routing::DispatchOutcome> outcomes;
     std::function<void()> beforeSlotResult; ///< Called on the traffic thread before each slot request completes.
+    std::chrono::milliseconds slotDelay { 0 }; ///< Time until a slot request completes.
     unsigned withdrawn = 0;
 
 private:
     http::asio::io_context& m_io;
 };
 
+/// An event loop whose pending operations can be destroyed before the objects that they refer to.
+class TestContext : public http::asio::io_context {
+public:
+    using io_context::io_context;
+
+    void destroyHandlers() { shutdown(); }
+};
+
 /// Runs a `CallerSession` over a real connection. Targets are raw connections that the test controls.
 class FlowFixture {
 public:
@@ -77,6 +88,7 @@
         io.stop();
         if (thread.joinable())
             thread.join();
+        io.destroyHandlers();
     }
 
     /// Publishes one route, path `/r/` of host `h` to service `s`, and the targets in `ports`.
@@ -107,15 +119,33 @@
 
     /// Starts serving one caller and returns its connection.
     std::unique_ptr<RawConnection> start()
+    {
+        auto caller = connectCaller();
+        thread = std::thread([this] { io.run(); });
+        return caller;
+    }
+
+    /// Connects a further caller.
+    std::unique_ptr<RawConnection> connectCaller()
     {
         auto caller = RawConnection::connectTo(acceptor.local_endpoint().port());
         auto session = std::make_shared<gateway::CallerSession>(context, acceptor.accept());
+        sessions.push_back(session);
         http::asio::co_spawn(
             io, [session] { return session->run(); }, http::asio::detached);
-        thread = std::thread([this] { io.run(); });
         return caller;
     }
 
+    /// Returns the resident memory of this process.
+    static std::size_t residentBytes()
+    {
+        std::ifstream file("/proc/self/statm");
+        std::size_t total = 0;
+        std::size_t resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+    }
+
     /// Stops the traffic thread, so that the test can inspect its state.
     void stopTraffic()
     {
@@ -138,7 +168,7 @@
             + ": proof\r\nKeep-Alive: timeout=10\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
-    http::asio::io_context io { 1 };
+    TestContext io { 1 };
     http::tcp::acceptor acceptor;
     base::SystemClock clock;
     observe::Logger log;
@@ -149,6 +179,7 @@
     FakePlacement placement;
     gateway::TrafficContext context;
     std::map<std::string, std::uint16_t> ports; ///< Port of each target, by id.
+    std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
     std::thread thread;
 };
 
--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -29,6 +29,9 @@
 
     std::uint16_t port() const { return m_server.port(); }
 
+    /// From now on, each response announces that the target leaves.
+    void announceLeaving() { m_leaving = true; }
+
     unsigned requestCount() const
     {
         const std::lock_guard lock(m_mutex);
@@ -44,13 +47,16 @@
         }
         std::this_thread::sleep_for(m_delay);
         tests::writeRaw(socket,
-            fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: proof\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
-                names::requestIdHeader, std::string(request[names::requestIdHeader]), names::signatureHeader));
+            fmt::format(
+                "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: proof\r\n{}: {}\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+                names::requestIdHeader, std::string(request[names::requestIdHeader]), names::signatureHeader,
+                names::leavingHeader, m_leaving ? 1 : 0));
     }
 
     mutable std::mutex m_mutex;
     std::chrono::milliseconds m_delay;
     unsigned m_requestCount = 0;
+    std::atomic<bool> m_leaving { false };
     tests::OneShotServer m_server;
 };
 
@@ -134,7 +140,7 @@
     }
 
     /// Sends one request on a new connection and returns the status, or 0 if no complete response arrives.
-    unsigned send(std::size_t n)
+    unsigned send(std::size_t n, std::chrono::milliseconds delayBeforeRequest = 0ms)
     {
         namespace http = boost::beast::http;
         boost::asio::io_context context;
@@ -147,6 +153,7 @@
         request.set(http::field::host, "h");
         request.set(names::requestIdHeader, fmt::format("id{}", ++m_sent));
         request.set(names::deadlineHeader, "3000");
+        std::this_thread::sleep_for(delayBeforeRequest);
         if (!ec)
             http::write(stream, request, ec);
         if (!ec)
@@ -268,3 +275,100 @@
             BOOST_TEST(send(2) == 200u);
     }
 }
+
+// Guards against requests that get no response during a planned stop under load: accepted before and after the signal,
+// sent at once or a moment after the connection was established. The load balancer stops using the instance within 3 s.
+BOOST_FIXTURE_TEST_CASE(stopUnderLoadAnswersEveryAcceptedRequest, Fleet)
+{
+    constexpr unsigned callerCount = 24;
+    const Target target(150ms);
+    configure("unsafe");
+    listTarget("i-1", target);
+    listTarget("i-2", target);
+    start();
+    start();
+    BOOST_REQUIRE(waitForStatus(0, 200, startTimeout));
+    BOOST_REQUIRE(waitForStatus(1, 200, startTimeout));
+    std::atomic<bool> stopped { false };
+    std::atomic<unsigned> unanswered { 0 };
+    std::atomic<unsigned> answered { 0 };
+    std::vector<std::thread> callers;
+    for (unsigned n = 0; n < callerCount; ++n) {
+        callers.emplace_back([&, n] {
+            while (!stopped)
+                ++(send(0, 20ms * (n % 8)) == 0 ? unanswered : answered);
+        });
+    }
+    std::this_thread::sleep_for(500ms);
+    process(0).signal(SIGTERM);
+    std::this_thread::sleep_for(3s);
+    stopped = true;
+    for (auto& it : callers)
+        it.join();
+    BOOST_TEST(process(0).wait() == 0);
+    BOOST_TEST(unanswered == 0u);
+    BOOST_TEST(answered > 100u);
+}
+
+// Guards against an instance that stops following the targets, or ends, because another program wrote an entry that
+// cannot be read: at the start and later.
+BOOST_FIXTURE_TEST_CASE(invalidEntriesDoNotStopAnInstance, Fleet)
+{
+    const Target first;
+    const Target second;
+    const auto deep = R"({"service":"s1","extra":)" + std::string(30'000, '[') + std::string(30'000, ']') + "}";
+    store.put("servers", "a-deep", platform::encodeBase64(deep));
+    store.putFields("servers", "a-number", { { "key", "a-number" }, { "value", 1e300 } });
+    configure();
+    listTarget("i-1", first);
+    start();
+    start();
+    BOOST_REQUIRE(waitForStatus(0, 200, startTimeout));
+    BOOST_REQUIRE(waitForStatus(1, 200, startTimeout));
+    BOOST_TEST(send(0) == 200u);
+    store.putFields("servers", "b-number", { { "key", "b-number" }, { "value", 7 } });
+    store.putFields("servers", "b-none", nullptr);
+    store.put("servers", "b-port",
+        platform::encodeBase64(R"({"service":"s1","address":"127.0.0.1:99999","zone":"z1","slots":1e999,"state":"ready",
+        "seq":1,"born":7})"));
+    listTarget("i-2", second);
+    store.remove("servers", "i-1");
+    std::this_thread::sleep_for(drainBound);
+    const auto before = first.requestCount();
+    for (unsigned n = 0; n < 6; ++n)
+        BOOST_TEST(send(n % 2) == 200u);
+    BOOST_TEST(first.requestCount() == before);
+    BOOST_TEST(second.requestCount() >= 6u);
+}
+
+// Guards against requests to a target that announced in its responses that it leaves, from any instance, also after the
+// instance with the dispatch point was killed and restarted. The target cannot reach the store, which lists it as
+// ready.
+BOOST_FIXTURE_TEST_CASE(leavingTargetReceivesNoRequests, Fleet)
+{
+    const Target staying;
+    Target leaving;
+    configure();
+    listTarget("i-1", staying);
+    listTarget("i-2", leaving);
+    start();
+    start();
+    start();
+    for (unsigned n = 0; n < 3; ++n)
+        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    leaving.announceLeaving();
+    const auto startedAt = Clock::now();
+    while (leaving.requestCount() == 0 && Clock::now() - startedAt < startTimeout)
+        BOOST_TEST(send(0) == 200u);
+    std::this_thread::sleep_for(drainBound);
+    const auto before = leaving.requestCount();
+    for (unsigned n = 0; n < 60; ++n)
+        BOOST_TEST(send(n % 3) == 200u);
+    for (unsigned killed = 0; killed < 2; ++killed) {
+        process(killed).signal(SIGKILL);
+        BOOST_TEST(process(killed).wait() == -1);
+        for (unsigned n = 0; n < 30; ++n)
+            BOOST_TEST(send(2) == 200u);
+    }
+    BOOST_TEST(leaving.requestCount() == before);
+}
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -3,6 +3,8 @@
 
 #include "flow_fixture.h"
 
+#include <fmt/format.h>
+
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
 using config::RequestKind;
@@ -202,3 +204,246 @@
     BOOST_TEST(headerOf(seen, names.expectedTarget) == "t");
     BOOST_TEST(headerOf(seen, names.requestId) == "1");
 }
+
+// Guards against a response that reaches another caller: the target sends a second copy late, when the connection is in
+// use for the next request.
+BOOST_FIXTURE_TEST_CASE(lateCopyOnAReusedConnectionIsNotTheNextResponse, FlowFixture)
+{
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        peer.readMessage();
+        peer.send(response("1", "first"));
+        peer.readMessage();
+        peer.send(response("1", "first"));
+        std::this_thread::sleep_for(50ms);
+        peer.send(response("2", "second"));
+        peer.readMessage();
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    BOOST_TEST(caller->readMessage().ends_with("first"));
+    caller->send(request("2", "POST", "b"));
+    BOOST_TEST(caller->readMessage().ends_with("second"));
+    BOOST_TEST(target.connections() == 1u);
+}
+
+// Guards against an announcement of a leaving target that is not passed on, whatever the status of the response.
+BOOST_FIXTURE_TEST_CASE(leavingTargetsAreReported, FlowFixture)
+{
+    const auto announcing = [this](const std::string& text) {
+        return text.substr(0, text.find("\r\n") + 2) + names.leaving + ": 1\r\n" + text.substr(text.find("\r\n") + 2);
+    };
+    const std::vector<std::string> responses { announcing(response("1", "ok")),
+        announcing(response("1", "no", "500 Failed")),
+        announcing("HTTP/1.1 503 Busy\r\n" + names.notRun + ": 1\r\nContent-Length: 0\r\n\r\n"), response("1", "ok") };
+    std::size_t next = 0;
+    RawTarget target(answering([&](const std::string&) { return responses[next++]; }));
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t", "t", "t" };
+    const auto caller = start();
+    for (std::size_t n = 0; n < responses.size(); ++n) {
+        caller->send(request("1", "POST", "book"));
+        caller->readMessage();
+    }
+    stopTraffic();
+    BOOST_REQUIRE(placement.outcomes.size() == responses.size());
+    for (std::size_t n = 0; n < responses.size(); ++n)
+        BOOST_TEST(placement.outcomes[n].targetLeaving == (n < 3));
+}
+
+// Guards against requests to a target inside the time that it named when it refused one, and against a slot of it that
+// is never released.
+BOOST_FIXTURE_TEST_CASE(pausedTargetReceivesNoRequests, FlowFixture)
+{
+    RawTarget full(answering([&](const std::string&) {
+        return "HTTP/1.1 503 Busy\r\n" + names.notRun + ": 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n";
+    }));
+    RawTarget good(
+        answering([&](const std::string& text) { return response(headerOf(text, names.requestId), "booked"); }));
+    ports = { { "full", full.port() }, { "good", good.port() } };
+    publish(1, RequestKind::NonIdempotent, 3000ms);
+    placement.grants = { "full", "good", "full", "good" };
+    const auto caller = start();
+    for (const auto* id : { "1", "2" }) {
+        caller->send(request(id, "POST", "book"));
+        BOOST_TEST(caller->readMessage().ends_with("booked"));
+    }
+    stopTraffic();
+    BOOST_TEST(full.connections() == 1u);
+    BOOST_TEST((placement.outcomes.front().retryAfter == 1500ms));
+    BOOST_TEST((placement.outcomes.front().verdict == health::Verdict::Shed));
+    BOOST_TEST(placement.outcomes.size() == 4u);
+    const auto& excluded = placement.slotRequests.at(2).excluded;
+    BOOST_TEST((std::find(excluded.begin(), excluded.end(), "full") != excluded.end()));
+}
+
+// Guards against a caller that is asked to return before any target accepts requests, and against values of Retry-After
+// that are not a time.
+BOOST_FIXTURE_TEST_CASE(callerReturnsAfterTheEndOfThePause, FlowFixture)
+{
+    std::string retryAfter = "0.9";
+    RawTarget full(answering([&](const std::string&) {
+        return "HTTP/1.1 503 Busy\r\n" + names.notRun + ": 1\r\nRetry-After: " + retryAfter
+            + "\r\nContent-Length: 0\r\n\r\n";
+    }));
+    ports = { { "full", full.port() } };
+    publish(1, RequestKind::NonIdempotent, 60'000ms);
+    placement.grants = { "full" };
+    const auto caller = start();
+    const auto send = [&] {
+        auto text = request("1", "POST", "book");
+        caller->send(text.replace(text.find(": 1500"), 6, ": 60000"));
+        return std::stod(headerOf(caller->readMessage(), "Retry-After"));
+    };
+    BOOST_TEST(send() > 0.8);
+    stopTraffic();
+    for (const auto* value : { "-1", "nan", "inf", "soon", "1e400", "Fri, 01 Jan 2027 00:00:00 GMT" }) {
+        retryAfter = value;
+        FlowFixture other;
+        other.ports = ports;
+        other.publish(1, RequestKind::NonIdempotent, 2000ms);
+        other.placement.grants = { "full" };
+        const auto otherCaller = other.start();
+        otherCaller->send(other.request("1", "POST", "book"));
+        BOOST_TEST(headerOf(otherCaller->readMessage(), "Retry-After") == "0.250");
+    }
+}
+
+// Guards against a slot that stays in use for good, because its grant arrives after the end of the request.
+BOOST_FIXTURE_TEST_CASE(grantAfterTheEndOfTheRequestIsReleased, FlowFixture)
+{
+    RawTarget target(answering([&](const std::string&) { return response("1", "x"); }));
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::Idempotent, 300ms);
+    placement.grants = { "t" };
+    placement.slotDelay = 500ms;
+    const auto caller = start();
+    caller->send(request("1"));
+    BOOST_TEST(statusOf(caller->readMessage()) == "HTTP/1.1 503");
+    std::this_thread::sleep_for(400ms);
+    stopTraffic();
+    BOOST_REQUIRE(placement.outcomes.size() == 1u);
+    BOOST_TEST((placement.outcomes.front().verdict == health::Verdict::Cancelled));
+}
+
+// Guards against a long response that is incomplete or corrupted at the caller, with and without a declared length.
+BOOST_FIXTURE_TEST_CASE(longResponsesAreRelayedWhole, FlowFixture)
+{
+    std::string body(3'000'000, 'x');
+    for (std::size_t i = 0; i < body.size(); i += 1000)
+        body[i] = static_cast<char>('a' + i / 1000 % 26);
+    RawTarget target(answering([&](const std::string& text) {
+        const auto id = headerOf(text, names.requestId);
+        if (id == "1")
+            return response(id, body);
+        return "HTTP/1.1 200 OK\r\n" + names.requestId + ": " + id + "\r\n" + names.signature
+            + ": proof\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt::format("{:x}", body.size()) + "\r\n" + body
+            + "\r\n0\r\n\r\n";
+    }));
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 5000ms);
+    placement.grants = { "t", "t", "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    const auto first = caller->readMessage();
+    BOOST_TEST((first.substr(first.find("\r\n\r\n") + 4) == body));
+    caller->send(request("2", "POST", "b"));
+    const auto head = caller->readUntil("\r\n\r\n");
+    BOOST_TEST(headerOf(head, "Transfer-Encoding") == "chunked");
+    std::string received;
+    while (true) {
+        const auto size = std::stoul(caller->readUntil("\r\n"), nullptr, 16);
+        received += caller->readBytes(size);
+        caller->readBytes(2);
+        if (size == 0)
+            break;
+    }
+    BOOST_TEST((received == body));
+    caller->send(request("1", "POST", "c"));
+    BOOST_TEST(caller->readMessage().size() > body.size());
+    for (int n = 0; n < 1000 && memory.used() != 0; ++n)
+        std::this_thread::sleep_for(1ms);
+    stopTraffic();
+    BOOST_TEST(target.connections() == 1u);
+    BOOST_TEST(placement.outcomes.size() == 3u);
+    BOOST_TEST(memory.used() == 0u);
+}
+
+// Guards against a long response that breaks off and looks complete at the caller.
+BOOST_FIXTURE_TEST_CASE(longResponseThatBreaksOffIsIncomplete, FlowFixture)
+{
+    const std::string part(200'000, 'x');
+    for (const bool chunked : { false, true }) {
+        FlowFixture f;
+        RawTarget target([&](RawConnection& peer, unsigned) {
+            peer.readMessage();
+            const auto framing
+                = chunked ? "Transfer-Encoding: chunked\r\n\r\nf4240\r\n" : "Content-Length: 1000000\r\n\r\n";
+            peer.send(
+                "HTTP/1.1 200 OK\r\n" + names.requestId + ": 1\r\n" + names.signature + ": proof\r\n" + framing + part);
+        });
+        f.ports = { { "t", target.port() } };
+        f.publish(1, RequestKind::NonIdempotent, 2000ms);
+        f.placement.grants = { "t" };
+        const auto caller = f.start();
+        caller->send(f.request("1", "POST", "a"));
+        const auto received = caller->readAll();
+        BOOST_TEST(received.size() < 1'000'000u);
+        BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+        f.stopTraffic();
+        BOOST_REQUIRE(f.placement.outcomes.size() == 1u);
+        BOOST_TEST((f.placement.outcomes.front().verdict == health::Verdict::Truncated));
+    }
+}
+
+// Guards against responses without end that fill the memory: 200 at once, with a declared length, in chunks, and ended
+// by the connection. No caller takes more than the first bytes, so back pressure must stop the targets.
+BOOST_FIXTURE_TEST_CASE(responsesWithoutEndDoNotFillTheMemory, FlowFixture)
+{
+    constexpr unsigned callerCount = 200;
+    constexpr std::size_t maxGrowth = std::size_t { 64 } << 20;
+    std::atomic<std::uint64_t> sentBytes { 0 };
+    RawTarget target([&](RawConnection& peer, unsigned n) {
+        peer.readMessage();
+        const std::vector<std::string> framings { "Content-Length: 100000000000000\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "Connection: close\r\n\r\n" };
+        peer.send(
+            "HTTP/1.1 200 OK\r\n" + names.requestId + ": 1\r\n" + names.signature + ": proof\r\n" + framings[n % 3]);
+        const std::string piece(65'536, 'x');
+        while (peer.sendFor(piece, 300ms))
+            sentBytes += piece.size();
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants.assign(callerCount, "t");
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    callers.push_back(start());
+    const auto before = residentBytes();
+    for (unsigned n = 1; n < callerCount; ++n)
+        callers.push_back(connectCaller());
+    for (auto& it : callers)
+        it->send(request("1", "POST", "a"));
+    std::this_thread::sleep_for(1500ms);
+    const auto growth = residentBytes() - before;
+    BOOST_TEST_MESSAGE("memory grew by " << (growth >> 20) << " MB");
+    BOOST_TEST(growth < maxGrowth);
+    BOOST_TEST(target.connections() == callerCount);
+    callers.clear();
+}
+
+// Guards against a slow caller that does not receive a long response whole.
+BOOST_FIXTURE_TEST_CASE(slowCallerReceivesTheWholeResponse, FlowFixture)
+{
+    const std::string body(20'000'000, 'y');
+    RawTarget target(answering([&](const std::string&) { return response("1", body); }));
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 400ms);
+    placement.grants = { "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    std::this_thread::sleep_for(1000ms);
+    BOOST_TEST(caller->readMessage().size() > body.size());
+}
--- a/tests/io/traffic_fixture.h
+++ b/tests/io/traffic_fixture.h
@@ -50,6 +50,22 @@
         }
     }
 
+    /// Sends all of `text`. Returns false if the peer closed the connection, or took nothing for `timeout`.
+    bool sendFor(const std::string& text, std::chrono::milliseconds timeout)
+    {
+        for (std::size_t sentBytes = 0; sentBytes < text.size();) {
+            pollfd it { m_descriptor, POLLOUT, 0 };
+            if (::poll(&it, 1, static_cast<int>(timeout.count())) <= 0)
+                return false;
+            const auto n
+                = ::send(m_descriptor, text.data() + sentBytes, text.size() - sentBytes, MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (n <= 0)
+                return false;
+            sentBytes += static_cast<std::size_t>(n);
+        }
+        return true;
+    }
+
     /// Reads until `delimiter` has arrived, the peer closes or 10 s have passed without a byte. Removes and returns the
     /// text up to the end of the delimiter, or all that has arrived.
     std::string readUntil(const std::string& delimiter)
@@ -138,7 +154,7 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof address;
         (void)::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size);
-        ::listen(m_listener, 64);
+        ::listen(m_listener, SOMAXCONN);
         ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
         m_port = ntohs(address.sin_port);
         m_acceptThread = std::thread([this] { accept(); });
