Read the registry at a few instances and relay routes within each zone

Cause: each instance held a long poll on the routes, read the targets again whenever a peer announced newer routes, and acted as reader until it knew its peers.

Change: only the readers wait for routes. They announce new versions; two instances of each zone read them and send them to their zone, and any other reads them itself after 250 ms without them. Readers send heartbeats, so a read may wait 2.5 s for a change. An instance acts as reader only once it knows its peers.

--- a/src/gateway/gateway_control.cpp
+++ b/src/gateway/gateway_control.cpp
@@ -95,7 +95,7 @@
         if (m_watcher.markLeaving(target) && isPointHere)
             m_relay.sendLeaving(target);
     });
-    m_peers.onPeerRouteVersion([this](std::uint64_t) { m_watcher.refresh(); });
+    m_peers.onPeerRouteVersion([this](std::uint64_t version) { m_watcher.noteRouteVersion(version); });
     m_watcher.start();
     for (const auto& it : m_settings.seeds)
         m_peers.contact(it);
@@ -110,6 +110,9 @@
         return;
     if (const auto delta = m_relay.handle(datagram))
         m_watcher.applyDelta(*delta);
+    m_watcher.noteRouteVersion(datagram.news().route_version());
+    if (datagram.has_routes())
+        m_watcher.applyRelayedRoutes(datagram.routes().version(), datagram.routes().document());
     for (const auto& it : datagram.leaving()) {
         if (membership::isValidName(it.id()))
             m_watcher.markLeaving({ it.id(), it.born() });
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -3,8 +3,8 @@
 #include "deployment.h"
 #include "peer_channel.h"
 #include "placement_client.h"
+#include "registry_relay.h"
 #include "registry_watcher.h"
-#include "target_relay.h"
 #include "traffic_context.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -59,7 +59,7 @@
     PeerChannel m_channel;
     PeerGroup m_peers;
     PlacementClient m_placement;
-    TargetRelay m_relay;
+    RegistryRelay m_relay;
     std::unique_ptr<Registry> m_registry;
     RegistryWatcher m_watcher;
     std::shared_ptr<const routing::RouteTable> m_routes;
--- a/src/gateway/peer_group.cpp
+++ b/src/gateway/peer_group.cpp
@@ -60,6 +60,7 @@
     if (ec)
         return;
     m_addresses[peer.instance] = address;
+    m_zones[peer.instance] = peer.zone;
     m_ranking.setCapacity(peer.instance, peer.capacity);
     m_channel.send(makePresence(m_leaving, false), address);
 }
@@ -92,6 +93,26 @@
         m_channel.send(message, address);
 }
 
+void PeerGroup::sendToZone(const wire::proto::PeerDatagram& message)
+{
+    for (const auto& [instance, zone] : m_zones) {
+        if (zone == m_settings.zone)
+            send(instance, message);
+    }
+}
+
+std::vector<std::string> PeerGroup::zoneTop(const std::string& key, std::size_t count)
+{
+    std::vector<std::string> result;
+    for (const auto& it : m_ranking.top(key, m_addresses.size() + 1, m_clock.now())) {
+        const auto zone = m_zones.find(it);
+        const bool isInZone = it == self() || (zone != m_zones.end() && zone->second == m_settings.zone);
+        if (isInZone && result.size() < count)
+            result.push_back(it);
+    }
+    return result;
+}
+
 bool PeerGroup::handle(const wire::proto::PeerDatagram& datagram, const udp::endpoint& from)
 {
     const auto& sender = datagram.sender();
@@ -101,6 +122,7 @@
     m_ranking.recordContact(sender, datagram.incarnation(), m_clock.now());
     if (datagram.has_presence()) {
         const auto& it = datagram.presence();
+        m_zones[sender] = it.zone();
         // The comparison is false for NaN.
         if (it.capacity() >= 0 && it.capacity() <= maxCapacity)
             m_ranking.setCapacity(sender, it.capacity());
--- a/src/gateway/peer_group.h
+++ b/src/gateway/peer_group.h
@@ -56,6 +56,15 @@
     void send(const std::string& instance, const wire::proto::PeerDatagram& message);
     void sendToAll(const wire::proto::PeerDatagram& message);
 
+    /// Sends to the known instances in the availability zone of this one.
+    void sendToZone(const wire::proto::PeerDatagram& message);
+
+    /// Returns up to `count` available instances in the availability zone of this one that rank first for `key`,
+    /// including this one.
+    std::vector<std::string> zoneTop(const std::string& key, std::size_t count);
+
+    std::uint64_t routeVersion() const { return m_routeVersion; }
+
     membership::PeerRanking& ranking() { return m_ranking; }
     const std::string& self() const { return m_settings.instance; }
 
@@ -68,6 +77,7 @@
     std::uint64_t m_incarnation;
     membership::PeerRanking m_ranking;
     std::map<std::string, udp::endpoint> m_addresses; ///< By instance.
+    std::map<std::string, std::string> m_zones; ///< Availability zone by instance.
     std::function<void(std::uint64_t)> m_onPeerRouteVersion;
     std::function<std::vector<membership::LeavingTarget>()> m_leavingTargets;
     std::uint64_t m_routeVersion = 0;
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -21,6 +21,7 @@
 struct RoutesUpdate {
     RegistryVersion version = 0;
     std::optional<routing::RouteSet> routes; ///< Empty if they are missing, unchanged or invalid.
+    std::string document; ///< The routes as stored; set if `routes` is.
     std::string problem; ///< Why the stored document is invalid. Empty if it is valid.
 };
 
@@ -72,6 +73,9 @@
         RegistryVersion after, std::chrono::milliseconds wait)
         = 0;
 
+    /// Decodes a `RoutesUpdate::document` that another instance read. Errors: `Malformed`.
+    virtual base::Result<routing::RouteSet> decodeRoutes(const std::string& document) const = 0;
+
     /// Reads all targets.
     virtual http::Awaitable<base::Result<TargetsUpdate>> readTargets() = 0;
 
--- a/src/gateway/target_relay.cpp
+++ b/src/gateway/registry_relay.cpp
@@ -1,4 +1,4 @@
-#include "target_relay.h"
+#include "registry_relay.h"
 
 #include <algorithm>
 
@@ -18,6 +18,14 @@
     // 2 s.
     constexpr milliseconds readerTimeout { 1300 };
 
+    // Key under which the instances of a zone are ranked as readers of new routes.
+    constexpr const char* zoneReadersKey = "zone-readers";
+    constexpr std::size_t zoneReaderCount = 2;
+
+    // Larger routes are not sent, because they would occupy the link of a small machine for too long. Each instance
+    // then reads them from the registry.
+    constexpr std::size_t maxRoutesBytes = 24'000;
+
     // How long an instance that cannot reach the registry is not considered as reader.
     constexpr milliseconds readerExclusionTtl { 3000 };
     constexpr milliseconds unreachableRepeatInterval { 1000 };
@@ -49,16 +57,19 @@
 
 } // namespace
 
-TargetRelay::TargetRelay(const base::Clock& clock, PeerGroup& peers)
+RegistryRelay::RegistryRelay(const base::Clock& clock, PeerGroup& peers)
     : m_clock(clock)
     , m_peers(peers)
     , m_lastDeltaAt(clock.now())
 {
 }
 
-ReaderRole TargetRelay::role()
+ReaderRole RegistryRelay::role()
 {
     const auto now = m_clock.now();
+    const bool isDeltaOverdue = now - m_lastDeltaAt > readerTimeout;
+    if (!m_arePeersKnown && !isDeltaOverdue)
+        return ReaderRole::None;
     std::erase_if(m_excludedUntil, [now](const auto& it) { return now >= it.second; });
     const auto ranked = m_peers.ranking().top(readersKey, readerCount + m_excludedUntil.size(), now);
     std::size_t readersAhead = 0;
@@ -70,15 +81,16 @@
         if (!m_excludedUntil.contains(it))
             ++readersAhead;
     }
-    return now - m_lastDeltaAt > readerTimeout ? ReaderRole::Standalone : ReaderRole::None;
+    return isDeltaOverdue ? ReaderRole::Standalone : ReaderRole::None;
 }
 
-void TargetRelay::sendDelta(const TargetDelta& delta)
+void RegistryRelay::sendDelta(const TargetDelta& delta)
 {
     auto message = m_peers.makeMessage();
     auto& part = *message.mutable_news();
     part.set_from(delta.fromVersion);
     part.set_to(delta.toVersion);
+    part.set_route_version(m_peers.routeVersion());
     for (const auto& it : delta.changes) {
         auto& entry = *part.add_entries();
         entry.set_id(it.id);
@@ -104,7 +116,7 @@
     m_peers.sendToAll(message);
 }
 
-void TargetRelay::sendRegistryUnreachable()
+void RegistryRelay::sendRegistryUnreachable()
 {
     const auto now = m_clock.now();
     if (now - m_unreachableSentAt < unreachableRepeatInterval)
@@ -115,7 +127,30 @@
     m_peers.sendToAll(message);
 }
 
-void TargetRelay::sendLeaving(const membership::LeavingTarget& target)
+bool RegistryRelay::isZoneReader()
+{
+    const auto readers = m_peers.zoneTop(zoneReadersKey, zoneReaderCount);
+    return std::find(readers.begin(), readers.end(), m_peers.self()) != readers.end();
+}
+
+void RegistryRelay::sendRouteVersion()
+{
+    auto message = m_peers.makeMessage();
+    message.mutable_news()->set_route_version(m_peers.routeVersion());
+    m_peers.sendToAll(message);
+}
+
+void RegistryRelay::sendRoutes(std::uint64_t version, const std::string& document)
+{
+    if (document.size() > maxRoutesBytes)
+        return;
+    auto message = m_peers.makeMessage();
+    message.mutable_routes()->set_version(version);
+    message.mutable_routes()->set_document(document);
+    m_peers.sendToZone(message);
+}
+
+void RegistryRelay::sendLeaving(const membership::LeavingTarget& target)
 {
     auto message = m_peers.makeMessage();
     auto& it = *message.add_leaving();
@@ -124,7 +159,7 @@
     m_peers.sendToAll(message);
 }
 
-std::optional<TargetDelta> TargetRelay::handle(const wire::proto::PeerDatagram& datagram)
+std::optional<TargetDelta> RegistryRelay::handle(const wire::proto::PeerDatagram& datagram)
 {
     if (!datagram.has_news())
         return std::nullopt;
@@ -134,6 +169,8 @@
         m_excludedUntil[datagram.sender()] = now + readerExclusionTtl;
         return std::nullopt;
     }
+    if (part.to() == 0)
+        return std::nullopt; // Only the version of the routes.
     m_lastDeltaAt = now;
     TargetDelta result { part.from(), part.to(), {} };
     for (const auto& it : part.entries()) {
--- a/src/gateway/target_relay.h
+++ b/src/gateway/registry_relay.h
@@ -25,14 +25,19 @@
     Reader, ///< It reads and sends deltas to all instances.
 };
 
-/// Distributes target changes between instances. Only a few instances read the targets from the registry and send the
-/// changes to the others, because each call is charged and each entry costs processor time. An instance that receives
-/// nothing reads for itself. Runs on the control thread.
-class TargetRelay {
+/// Distributes changes of targets and routes between instances. Only a few instances read the registry, because each
+/// call is charged and each entry costs processor time. They send the changes of targets, and the version of the
+/// routes, to all others. New routes themselves are read by two instances of each availability zone, which send them to
+/// the others of their zone, because bytes between zones are charged. An instance that receives nothing reads for
+/// itself. Runs on the control thread.
+class RegistryRelay {
 public:
-    TargetRelay(const base::Clock& clock, PeerGroup& peers);
+    RegistryRelay(const base::Clock& clock, PeerGroup& peers);
 
-    /// Returns the current role of this instance.
+    /// Records that the other instances are known, on which the role of this one depends.
+    void setPeersKnown() { m_arePeersKnown = true; }
+
+    /// Returns the current role of this instance. Until the other instances are known it is `None` for a short time.
     ReaderRole role();
 
     /// Sends changes that this instance read from the registry to all other instances.
@@ -42,6 +47,15 @@
     /// Repeated calls are rate-limited.
     void sendRegistryUnreachable();
 
+    /// Whether this instance reads new routes for its availability zone.
+    bool isZoneReader();
+
+    /// Sends the version of the routes in force to all other instances.
+    void sendRouteVersion();
+
+    /// Sends new routes to the other instances of the availability zone, unless they are too large for a datagram.
+    void sendRoutes(std::uint64_t version, const std::string& document);
+
     /// Notifies the other instances that a target announced that it leaves.
     void sendLeaving(const membership::LeavingTarget& target);
 
@@ -58,6 +72,7 @@
     base::SteadyTime m_lastDeltaAt; ///< When a delta of any reader was last received.
     base::SteadyTime m_unreachableSentAt {};
     std::uint64_t m_invalidEntries = 0;
+    bool m_arePeersKnown = false;
 };
 
 } // namespace buckthorncroft::gateway
--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -8,15 +8,25 @@
 
     using std::chrono::milliseconds;
 
-    // Routes change rarely, so the long poll lasts long. TCP keep-alive probes detect a dead connection in the
-    // meantime.
-    constexpr milliseconds routesWaitTimeout { 28'000 };
+    // Routes change rarely, so most calls end by this timeout. It bounds the time for which a reader can depend on a
+    // connection that has gone silent.
+    constexpr milliseconds routesWaitTimeout { 5000 };
 
-    // Heartbeats change the entries of the targets continually, so the call usually returns at once. The interval
-    // limits the calls; a target that leaves must be detected within 2 s.
-    constexpr milliseconds targetsWaitTimeout { 1000 };
+    // How long an instance waits for new routes from the readers of its zone before it reads them itself.
+    constexpr milliseconds zoneRelayTimeout { 250 };
+
+    // After the list of instances was read, instances that start at the same time announce themselves within this time.
+    constexpr milliseconds roleSettleTime { 300 };
+
+    // A call returns with the first change. The interval limits the calls while changes are frequent; a target that
+    // leaves must be detected within 2 s.
+    constexpr milliseconds targetsWaitTimeout { 2500 };
     constexpr milliseconds targetsPollInterval { 700 };
 
+    // Interval at which a reader tells the other instances that it follows the registry. Several of them fit into the
+    // time after which an instance without news reads for itself.
+    constexpr milliseconds heartbeatInterval { 600 };
+
     // Backoff while the registry is unreachable, because all instances retry and each call is charged.
     constexpr milliseconds minRetryDelay { 250 };
     constexpr milliseconds maxRetryDelay { 1000 };
@@ -28,7 +38,7 @@
 } // namespace
 
 RegistryWatcher::RegistryWatcher(http::asio::io_context& io, const base::Clock& clock, Registry& registry,
-    const observe::Logger& log, observe::Metrics& metrics, TargetRelay& relay, PeerRecord self, Handlers handlers)
+    const observe::Logger& log, observe::Metrics& metrics, RegistryRelay& relay, PeerRecord self, Handlers handlers)
     : m_io(io)
     , m_clock(clock)
     , m_registry(registry)
@@ -37,6 +47,7 @@
     , m_relay(relay)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
+    , m_routesTimer(io)
     , m_targetsRetryDelay(minRetryDelay)
 {
 }
@@ -46,6 +57,7 @@
     startTask("routes", &RegistryWatcher::watchRoutes);
     startTask("targets", &RegistryWatcher::watchTargets);
     startTask("peers", &RegistryWatcher::registerAndListPeers);
+    startTask("heartbeats", &RegistryWatcher::sendHeartbeats);
 }
 
 void RegistryWatcher::startTask(const char* name, Task task)
@@ -76,6 +88,7 @@
 {
     m_routesStale = true;
     m_targetsStale = true;
+    m_routesTimer.cancel();
 }
 
 http::Awaitable<void> RegistryWatcher::sleepFor(milliseconds time)
@@ -104,11 +117,20 @@
     while (true) {
         if (std::exchange(m_routesStale, false))
             m_routesRegistryVersion = 0;
-        auto operation = m_routesRegistryVersion ? m_registry.waitForRoutes(m_routesRegistryVersion, routesWaitTimeout)
-                                                 : m_registry.readRoutes();
+        const bool isFullRead = m_routesRegistryVersion == 0 || m_clock.now() >= m_readRoutesAt;
+        if (!isFullRead && m_relay.role() == ReaderRole::None) {
+            co_await waitForRouteNews();
+            continue;
+        }
+        auto operation = isFullRead ? m_registry.readRoutes()
+                                    : m_registry.waitForRoutes(m_routesRegistryVersion, routesWaitTimeout);
         auto update = co_await std::move(operation);
         if (update) {
             recordSuccess("routes", m_routesUnreachable);
+            if (isFullRead) {
+                m_readRoutesAt = base::SteadyTime::max();
+                m_wantedRoutesVersion = 0;
+            }
             applyRoutes(update.value());
             continue;
         }
@@ -120,6 +142,37 @@
     }
 }
 
+// Waits until there may be something to do for an instance that does not wait for routes at the registry.
+http::Awaitable<void> RegistryWatcher::waitForRouteNews()
+{
+    http::error_code ec;
+    m_routesTimer.expires_at(std::min(m_readRoutesAt, m_clock.now() + roleCheckInterval));
+    co_await m_routesTimer.async_wait(http::captureError(ec));
+}
+
+void RegistryWatcher::noteRouteVersion(std::uint64_t version)
+{
+    if (version <= m_appliedRoutesVersion || version <= m_wantedRoutesVersion)
+        return;
+    m_wantedRoutesVersion = version;
+    m_readRoutesAt = m_clock.now() + (m_relay.isZoneReader() ? milliseconds(0) : zoneRelayTimeout);
+    m_routesTimer.cancel();
+}
+
+void RegistryWatcher::applyRelayedRoutes(std::uint64_t version, const std::string& document)
+{
+    if (version <= m_appliedRoutesVersion)
+        return;
+    const auto routes = m_registry.decodeRoutes(document);
+    if (!routes || routes.value().version != version) {
+        m_log.write(observe::Level::Warning, "relayed_routes_rejected",
+            { { "version", std::to_string(version) },
+                { "reason", routes ? "the version differs" : routes.error().message } });
+        return;
+    }
+    installRoutes(routes.value(), "peer");
+}
+
 void RegistryWatcher::applyRoutes(const RoutesUpdate& update)
 {
     m_routesRegistryVersion = update.version;
@@ -127,14 +180,30 @@
         m_log.write(observe::Level::Error, "routes_rejected",
             { { "reason", update.problem }, { "in_force", std::to_string(m_appliedRoutesVersion) } });
     }
-    // A process never returns to older routes, even if the registry does.
-    if (!update.routes || update.routes->version <= m_appliedRoutesVersion)
+    if (!update.routes || !installRoutes(*update.routes, "registry"))
         return;
+    const bool isReader = m_relay.role() == ReaderRole::Reader;
+    if (isReader)
+        m_relay.sendRouteVersion();
+    if (isReader || m_relay.isZoneReader())
+        m_relay.sendRoutes(update.routes->version, update.document);
+}
+
+// A process never returns to older routes, even if the registry does.
+bool RegistryWatcher::installRoutes(const routing::RouteSet& routes, const char* source)
+{
+    if (routes.version <= m_appliedRoutesVersion)
+        return false;
     m_log.write(observe::Level::Info, "routes_applied",
-        { { "version", std::to_string(update.routes->version) }, { "previous", std::to_string(m_appliedRoutesVersion) },
-            { "routes", std::to_string(update.routes->routes.size()) } });
-    m_appliedRoutesVersion = update.routes->version;
-    m_handlers.onRoutes(std::make_shared<const routing::RouteTable>(*update.routes));
+        { { "version", std::to_string(routes.version) }, { "previous", std::to_string(m_appliedRoutesVersion) },
+            { "routes", std::to_string(routes.routes.size()) }, { "source", source } });
+    m_appliedRoutesVersion = routes.version;
+    if (m_wantedRoutesVersion <= routes.version) {
+        m_wantedRoutesVersion = 0;
+        m_readRoutesAt = base::SteadyTime::max();
+    }
+    m_handlers.onRoutes(std::make_shared<const routing::RouteTable>(routes));
+    return true;
 }
 
 http::Awaitable<void> RegistryWatcher::watchTargets()
@@ -287,6 +356,17 @@
         m_handlers.onTargets(m_directory.targets());
 }
 
+// While nothing changes, a read of the targets lasts longer than the others may be without news.
+http::Awaitable<void> RegistryWatcher::sendHeartbeats()
+{
+    while (true) {
+        co_await sleepFor(heartbeatInterval);
+        const bool isFollowing = m_targetsRegistryVersion != 0 && !m_targetsUnreachable;
+        if (isFollowing && m_relay.role() == ReaderRole::Reader)
+            m_relay.sendDelta({ m_targetsRegistryVersion, m_targetsRegistryVersion, {} });
+    }
+}
+
 http::Awaitable<void> RegistryWatcher::registerAndListPeers()
 {
     while (true) {
@@ -297,6 +377,8 @@
                 recordSuccess("peers", m_peersUnreachable);
                 for (const auto& it : peers.value())
                     m_handlers.onPeer(it);
+                co_await sleepFor(roleSettleTime);
+                m_relay.setPeersKnown();
                 co_return;
             }
             recordFailure("peers", peers.error(), m_peersUnreachable);
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "registry.h"
-#include "target_relay.h"
+#include "registry_relay.h"
 #include "traffic_context.h"
 
 #include <buckthorncroft/gateway/settings.h>
@@ -24,7 +24,8 @@
     };
 
     RegistryWatcher(http::asio::io_context& io, const base::Clock& clock, Registry& registry,
-        const observe::Logger& log, observe::Metrics& metrics, TargetRelay& relay, PeerRecord self, Handlers handlers);
+        const observe::Logger& log, observe::Metrics& metrics, RegistryRelay& relay, PeerRecord self,
+        Handlers handlers);
 
     /// Starts to read; the coroutines run until the context stops.
     void start();
@@ -38,8 +39,15 @@
     /// Returns the targets that recently announced that they leave.
     std::vector<membership::LeavingTarget> leavingTargets() { return m_directory.leavingTargets(m_clock.now()); }
 
-    /// Reads all routes and targets again as soon as the current reads have ended. Call after the machine was suspended
-    /// or when another instance has newer routes.
+    /// Notes that another instance uses this version of the routes. If it is newer than the one in force, the new
+    /// routes are read unless they arrive from a peer first.
+    void noteRouteVersion(std::uint64_t version);
+
+    /// Applies routes that another instance read from the registry.
+    void applyRelayedRoutes(std::uint64_t version, const std::string& document);
+
+    /// Reads all routes and targets again as soon as the current reads have ended. Call after the machine was
+    /// suspended.
     void refresh();
 
 private:
@@ -50,8 +58,11 @@
     http::Awaitable<void> watchRoutes();
     http::Awaitable<void> watchTargets();
     http::Awaitable<void> registerAndListPeers();
+    http::Awaitable<void> sendHeartbeats();
     http::Awaitable<void> sleepFor(std::chrono::milliseconds time);
+    http::Awaitable<void> waitForRouteNews();
     void applyRoutes(const RoutesUpdate& update);
+    bool installRoutes(const routing::RouteSet& routes, const char* source);
     http::Awaitable<void> pollTargets();
     void applyTargets(const TargetsUpdate& update, bool isFullListing);
     void replaceTargets(const TargetsUpdate& update);
@@ -66,12 +77,15 @@
     Registry& m_registry;
     const observe::Logger& m_log;
     observe::Metrics& m_metrics;
-    TargetRelay& m_relay;
+    RegistryRelay& m_relay;
     PeerRecord m_self;
     Handlers m_handlers;
     membership::TargetDirectory m_directory;
     std::uint64_t m_appliedRoutesVersion = 0; ///< Version of the routes in force.
     RegistryVersion m_routesRegistryVersion = 0; ///< 0: the next read is a full read.
+    std::uint64_t m_wantedRoutesVersion = 0; ///< Newest version that a peer announced and that is not in force yet.
+    base::SteadyTime m_readRoutesAt = base::SteadyTime::max(); ///< When the wanted routes are read from the registry.
+    http::asio::steady_timer m_routesTimer; ///< Cancelled when there is news about routes.
     RegistryVersion m_targetsRegistryVersion = 0; ///< 0: the next read is a full listing.
     std::map<std::string, std::string> m_malformedEntries; ///< Logged reason of each entry that is invalid now, by id.
     std::vector<TargetChange> m_unsentChanges; ///< Delayed removals to include in the next delta.
--- a/standins/registry_store.h
+++ b/standins/registry_store.h
@@ -106,6 +106,14 @@
         return m_callCount;
     }
 
+    /// Returns the number of reads of `table` received so far, including those that wait for a change.
+    unsigned readCount(const std::string& table) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_readCounts.find(table);
+        return it == m_readCounts.end() ? 0 : it->second;
+    }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -182,6 +190,7 @@
             return Response { 503 };
         const std::string target(request.target());
         const auto path = target.substr(0, target.find('?'));
+        ++m_readCounts[parameter(parseQuery(target), "table")];
         auto response = dispatch(path, parseQuery(target), request.body(), lock);
         if (m_stopped || m_fault == StoreFault::DropsResponses)
             return std::nullopt;
@@ -326,6 +335,7 @@
     std::uint64_t m_oldestVersion = 0; ///< Feeds from earlier versions get status 410.
     StoreFault m_fault = StoreFault::None;
     unsigned m_callCount = 0;
+    std::map<std::string, unsigned> m_readCounts; ///< By table.
     bool m_stopped = false;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -78,15 +78,16 @@
         std::filesystem::remove_all(m_directory, ec);
     }
 
-    void configure(const std::string& kind = "safe")
+    /// Writes version `version` of the configuration, with one route for requests of `kind` below `prefix`.
+    void configure(const std::string& kind = "safe", unsigned version = 2, const std::string& prefix = "/p/")
     {
         store.put("op", "config",
             platform::encodeBase64(fmt::format(
-                R"({{"version":"00000002","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,
+                R"({{"version":"{:08x}","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,
                 "header_timeout":"3s","idle_timeout":"15s"}},"listeners":[{{"host":"h","rules":[{{"name":"r",
-                "type":"{}","target_latency":"1s","priority":1,"match":{{"prefix":"/p/"}},
+                "type":"{}","target_latency":"1s","priority":1,"match":{{"prefix":"{}"}},
                 "action":{{"service":"s1","timeout":"3s","max_attempts":2}}}}]}}],"clusters":[{{"name":"s1"}}]}})",
-                kind)));
+                version, kind, prefix)));
     }
 
     void listTarget(const std::string& id, const Target& target, const std::string& state = "ready")
@@ -372,3 +373,75 @@
     }
     BOOST_TEST(leaving.requestCount() == before);
 }
+
+// Guards against reads of the registry that grow with the number of instances, and against an instance that does not
+// receive new routes from its peers in time or returns to older ones.
+BOOST_FIXTURE_TEST_CASE(newRoutesReachAllInstancesWithFewReads, Fleet)
+{
+    constexpr unsigned instanceCount = 10;
+    // Three readers wait for changes, and each reads again after a change; two instances read for their zone.
+    constexpr unsigned maxReadsPerChange = 3 + 2;
+    constexpr unsigned maxReadsByTimeout = 3 * 2;
+    const Target target;
+    configure();
+    listTarget("i-1", target);
+    for (unsigned n = 0; n < instanceCount; ++n)
+        start();
+    for (unsigned n = 0; n < instanceCount; ++n)
+        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    std::this_thread::sleep_for(3s);
+    for (unsigned version = 3; version < 6; ++version) {
+        const auto before = store.readCount("op");
+        configure("safe", version, version % 2 ? "/other/" : "/p/");
+        std::this_thread::sleep_for(configurationBound);
+        for (unsigned n = 0; n < instanceCount; ++n)
+            BOOST_TEST(send(n) == (version % 2 ? 404u : 200u));
+        BOOST_TEST(store.readCount("op") - before <= maxReadsPerChange + maxReadsByTimeout);
+    }
+}
+
+// Guards against an instance without new routes because the instances that read the registry for it were killed.
+BOOST_FIXTURE_TEST_CASE(newRoutesReachInstancesWhoseReadersWereKilled, Fleet)
+{
+    constexpr unsigned instanceCount = 7;
+    const Target target;
+    configure();
+    listTarget("i-1", target);
+    for (unsigned n = 0; n < instanceCount; ++n)
+        start();
+    for (unsigned n = 0; n < instanceCount; ++n)
+        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    std::this_thread::sleep_for(1s);
+    for (unsigned n = 0; n + 1 < instanceCount; ++n) {
+        process(n).signal(SIGSTOP);
+        configure("safe", 3 + n, n % 2 ? "/p/" : "/other/");
+        std::this_thread::sleep_for(configurationBound);
+        BOOST_TEST(send(instanceCount - 1) == (n % 2 ? 200u : 404u));
+    }
+    for (unsigned n = 0; n + 1 < instanceCount; ++n)
+        process(n).signal(SIGCONT);
+    std::this_thread::sleep_for(configurationBound);
+    for (unsigned n = 0; n < instanceCount; ++n)
+        BOOST_TEST(send(n) == 200u);
+}
+
+// Guards against instances that read the registry although others do so for them: while nothing changes, the reads of
+// the readers last longer than an instance waits for news.
+BOOST_FIXTURE_TEST_CASE(instancesRelyOnTheReadersWhileNothingChanges, Fleet)
+{
+    constexpr unsigned instanceCount = 8;
+    constexpr auto period = 6s;
+    constexpr unsigned readerCount = 3;
+    constexpr unsigned maxReadsPerReader = 4;
+    const Target target;
+    configure();
+    listTarget("i-1", target);
+    for (unsigned n = 0; n < instanceCount; ++n)
+        start();
+    for (unsigned n = 0; n < instanceCount; ++n)
+        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    std::this_thread::sleep_for(2s);
+    const auto before = store.readCount("servers");
+    std::this_thread::sleep_for(period);
+    BOOST_TEST(store.readCount("servers") - before <= readerCount * maxReadsPerReader);
+}
