Pass on only what the registry has just confirmed

Change: no heartbeats; a read of the targets waits 300 ms, so that the responses come often enough to be the sign of life. A read of the routes waits 800 ms.

--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -8,9 +8,9 @@
 
     using std::chrono::milliseconds;
 
-    // Routes change rarely, so most calls end by this timeout. It bounds the time for which a reader can depend on a
-    // connection that has gone silent.
-    constexpr milliseconds routesWaitTimeout { 5000 };
+    // A call that the registry does not answer, because it was unreachable, keeps an instance from reading the routes
+    // until this timeout and the one of the call have passed.
+    constexpr milliseconds routesWaitTimeout { 800 };
 
     // How long an instance waits for new routes from the readers of its zone before it reads them itself.
     constexpr milliseconds zoneRelayTimeout { 250 };
@@ -18,15 +18,13 @@
     // After the list of instances was read, instances that start at the same time announce themselves within this time.
     constexpr milliseconds roleSettleTime { 300 };
 
-    // A call returns with the first change. The interval limits the calls while changes are frequent; a target that
-    // leaves must be detected within 2 s.
-    constexpr milliseconds targetsWaitTimeout { 2500 };
+    // A call returns with the first change or after the timeout. Each response is passed on to the other instances, which
+    // read for themselves without news for 1.3 s, so both times together must be shorter. Only responses may be passed
+    // on: the registry can be silent to the readers while it serves the others. The interval limits the calls; a target
+    // that leaves must be detected within 2 s.
+    constexpr milliseconds targetsWaitTimeout { 300 };
     constexpr milliseconds targetsPollInterval { 700 };
 
-    // Interval at which a reader tells the other instances that it follows the registry. Several of them fit into the
-    // time after which an instance without news reads for itself.
-    constexpr milliseconds heartbeatInterval { 600 };
-
     // Backoff while the registry is unreachable, because all instances retry and each call is charged.
     constexpr milliseconds minRetryDelay { 250 };
     constexpr milliseconds maxRetryDelay { 1000 };
@@ -57,7 +55,6 @@
     startTask("routes", &RegistryWatcher::watchRoutes);
     startTask("targets", &RegistryWatcher::watchTargets);
     startTask("peers", &RegistryWatcher::registerAndListPeers);
-    startTask("heartbeats", &RegistryWatcher::sendHeartbeats);
 }
 
 void RegistryWatcher::startTask(const char* name, Task task)
@@ -356,17 +353,6 @@
         m_handlers.onTargets(m_directory.targets());
 }
 
-// While nothing changes, a read of the targets lasts longer than the others may be without news.
-http::Awaitable<void> RegistryWatcher::sendHeartbeats()
-{
-    while (true) {
-        co_await sleepFor(heartbeatInterval);
-        const bool isFollowing = m_targetsRegistryVersion != 0 && !m_targetsUnreachable;
-        if (isFollowing && m_relay.role() == ReaderRole::Reader)
-            m_relay.sendDelta({ m_targetsRegistryVersion, m_targetsRegistryVersion, {} });
-    }
-}
-
 http::Awaitable<void> RegistryWatcher::registerAndListPeers()
 {
     while (true) {
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -58,7 +58,6 @@
     http::Awaitable<void> watchRoutes();
     http::Awaitable<void> watchTargets();
     http::Awaitable<void> registerAndListPeers();
-    http::Awaitable<void> sendHeartbeats();
     http::Awaitable<void> sleepFor(std::chrono::milliseconds time);
     http::Awaitable<void> waitForRouteNews();
     void applyRoutes(const RoutesUpdate& update);
