Test new routes while the store is silent to the readers

Change: a proxy for tests that holds back the bytes of open connections; six instances, of which the store serves one at a time.

--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -6,8 +6,10 @@
 #include "../../standins/registry_store.h"
 #include "../io/platform_server.h"
 #include "../io/process_fleet.h"
+#include "silencing_proxy.h"
 
 #include <future>
+#include <list>
 #include <mutex>
 #include <set>
 
@@ -98,7 +100,8 @@
                 target.port(), state)));
     }
 
-    void start()
+    /// Starts an instance. With `registryPort`, it reaches the store through that port.
+    void start(std::uint16_t registryPort = 0)
     {
         const auto name = fmt::format("g{}", m_processes.size());
         const auto file = fmt::format("{}/{}.toml", m_directory, name);
@@ -121,7 +124,7 @@
 window = "10s"
 slack = 62
 )",
-            name, callerPorts.back(), readyPorts.back(), test::freePort(), store.port());
+            name, callerPorts.back(), readyPorts.back(), test::freePort(), registryPort ? registryPort : store.port());
         m_processes.push_back(std::make_unique<test::ChildProcess>(
             std::vector<std::string> { BINARY_DIR "/buckthorncroft-gateway", file }));
     }
@@ -445,3 +448,32 @@
     std::this_thread::sleep_for(period);
     BOOST_TEST(store.readCount("servers") - before <= readerCount * maxReadsPerReader);
 }
+
+// Guards against an instance that does not receive new routes because the store is silent to the instances which read
+// for it, while it serves this one. A hunted day showed it.
+BOOST_FIXTURE_TEST_CASE(newRoutesReachTheInstancesThatTheStoreServes, Fleet)
+{
+    constexpr unsigned instanceCount = 6;
+    constexpr unsigned survivorCount = 4; // More than there are readers, so one of them is no reader.
+    const Target target;
+    std::list<test::SilencingProxy> proxies;
+    configure();
+    listTarget("i-1", target);
+    for (unsigned n = 0; n < instanceCount; ++n)
+        start(proxies.emplace_back(store.port()).port());
+    for (unsigned n = 0; n < instanceCount; ++n)
+        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    std::this_thread::sleep_for(1s);
+    for (unsigned survivor = 0; survivor < survivorCount; ++survivor) {
+        unsigned n = 0;
+        for (auto& it : proxies)
+            it.setSilent(n++ != survivor);
+        std::this_thread::sleep_for(test::SilencingProxy::reactionTime);
+        configure("safe", 3 + survivor, survivor % 2 ? "/p/" : "/other/");
+        std::this_thread::sleep_for(configurationBound);
+        BOOST_TEST(send(survivor) == (survivor % 2 ? 200u : 404u));
+        for (auto& it : proxies)
+            it.setSilent(false);
+        std::this_thread::sleep_for(configurationBound);
+    }
+}
