--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -18,10 +18,10 @@
     // After the list of instances was read, instances that start at the same time announce themselves within this time.
     constexpr milliseconds roleSettleTime { 300 };
 
-    // A call returns with the first change or after the timeout. Each response is passed on to the other instances, which
-    // read for themselves without news for 1.3 s, so both times together must be shorter. Only responses may be passed
-    // on: the registry can be silent to the readers while it serves the others. The interval limits the calls; a target
-    // that leaves must be detected within 2 s.
+    // A call returns with the first change or after the timeout. Each response is passed on to the other instances,
+    // which read for themselves without news for 1.3 s, so both times together must be shorter. Only responses may be
+    // passed on: the registry can be silent to the readers while it serves the others. The interval limits the calls; a
+    // target that leaves must be detected within 2 s.
     constexpr milliseconds targetsWaitTimeout { 300 };
     constexpr milliseconds targetsPollInterval { 700 };
 
