--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -62,6 +62,8 @@
     tests::OneShotServer m_server;
 };
 
+constexpr auto startTimeout = 5s;
+
 /// Gateway processes that use an in-memory store. All ports are on the loopback address.
 class Fleet {
 public:
@@ -129,6 +131,15 @@
             std::vector<std::string> { BINARY_DIR "/buckthorncroft-gateway", file }));
     }
 
+    /// Starts `count` instances and waits until all are ready.
+    void startReady(unsigned count)
+    {
+        for (unsigned n = 0; n < count; ++n)
+            start();
+        for (unsigned n = 0; n < count; ++n)
+            BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    }
+
     test::ChildProcess& process(std::size_t n) { return *m_processes.at(n); }
 
     /// Waits until the readiness endpoint of an instance returns `status`. Returns false after `timeout`.
@@ -180,8 +191,6 @@
 constexpr auto drainBound = 2s;
 constexpr auto grace = 6s;
 
-constexpr auto startTimeout = 5s;
-
 } // namespace
 
 // Guards against an instance that reports ready before it has received routes, or responds 404 because it has none.
@@ -289,10 +298,7 @@
     configure("unsafe");
     listTarget("i-1", target);
     listTarget("i-2", target);
-    start();
-    start();
-    BOOST_REQUIRE(waitForStatus(0, 200, startTimeout));
-    BOOST_REQUIRE(waitForStatus(1, 200, startTimeout));
+    startReady(2);
     std::atomic<bool> stopped { false };
     std::atomic<unsigned> unanswered { 0 };
     std::atomic<unsigned> answered { 0 };
@@ -325,10 +331,7 @@
     store.putFields("servers", "a-number", { { "key", "a-number" }, { "value", 1e300 } });
     configure();
     listTarget("i-1", first);
-    start();
-    start();
-    BOOST_REQUIRE(waitForStatus(0, 200, startTimeout));
-    BOOST_REQUIRE(waitForStatus(1, 200, startTimeout));
+    startReady(2);
     BOOST_TEST(send(0) == 200u);
     store.putFields("servers", "b-number", { { "key", "b-number" }, { "value", 7 } });
     store.putFields("servers", "b-none", nullptr);
@@ -355,11 +358,7 @@
     configure();
     listTarget("i-1", staying);
     listTarget("i-2", leaving);
-    start();
-    start();
-    start();
-    for (unsigned n = 0; n < 3; ++n)
-        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    startReady(3);
     leaving.announceLeaving();
     const auto startedAt = Clock::now();
     while (leaving.requestCount() == 0 && Clock::now() - startedAt < startTimeout)
@@ -388,10 +387,7 @@
     const Target target;
     configure();
     listTarget("i-1", target);
-    for (unsigned n = 0; n < instanceCount; ++n)
-        start();
-    for (unsigned n = 0; n < instanceCount; ++n)
-        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    startReady(instanceCount);
     std::this_thread::sleep_for(3s);
     for (unsigned version = 3; version < 6; ++version) {
         const auto before = store.readCount("op");
@@ -410,10 +406,7 @@
     const Target target;
     configure();
     listTarget("i-1", target);
-    for (unsigned n = 0; n < instanceCount; ++n)
-        start();
-    for (unsigned n = 0; n < instanceCount; ++n)
-        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    startReady(instanceCount);
     std::this_thread::sleep_for(1s);
     for (unsigned n = 0; n + 1 < instanceCount; ++n) {
         process(n).signal(SIGSTOP);
@@ -439,10 +432,7 @@
     const Target target;
     configure();
     listTarget("i-1", target);
-    for (unsigned n = 0; n < instanceCount; ++n)
-        start();
-    for (unsigned n = 0; n < instanceCount; ++n)
-        BOOST_REQUIRE(waitForStatus(n, 200, startTimeout));
+    startReady(instanceCount);
     std::this_thread::sleep_for(2s);
     const auto before = store.readCount("servers");
     std::this_thread::sleep_for(period);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -437,7 +437,8 @@
 // Guards against a slow caller that does not receive a long response whole.
 BOOST_FIXTURE_TEST_CASE(slowCallerReceivesTheWholeResponse, FlowFixture)
 {
-    const std::string body(20'000'000, 'y');
+    std::string body;
+    body.assign(20'000'000, 'y');
     RawTarget target(answering([&](const std::string&) { return response("1", body); }));
     ports = { { "t", target.port() } };
     publish(1, RequestKind::NonIdempotent, 400ms);
