--- a/review/support/stage.hh
+++ b/review/support/stage.hh
@@ -334,11 +334,16 @@
 
     static constexpr unsigned slots = 3;
     static constexpr unsigned queue = 12;
+    static constexpr auto lateBy = 5ms;
 
-    Backend(Record& record, std::string id, std::function<milliseconds(const Message&)> work)
+    /// `extra`, if set, is called after each complete response and returns additional bytes, which are sent late: once
+    /// the next request has arrived on the connection.
+    Backend(Record& record, std::string id, std::function<milliseconds(const Message&)> work,
+        std::function<std::string()> extra = nullptr)
         : m_record(record)
         , m_id(std::move(id))
         , m_work(std::move(work))
+        , m_extra(std::move(extra))
         , m_listener(listenOn(m_port))
         , m_thread([this] { acceptLoop(); })
     {
@@ -404,9 +409,18 @@
     {
         Reader reader(fd);
         Message request;
+        std::string extra;
         while (!m_ended && reader.read(request, Clock::now() + 10s)) {
+            if (!extra.empty()) {
+                std::this_thread::sleep_for(lateBy);
+                m_record.write("back end ", m_id, " sends the additional bytes, while ",
+                    request.field("x-buckthorncroft-request-id"), " waits");
+                if (!sendAll(fd, extra))
+                    break;
+            }
             if (!sendAll(fd, respond(request)))
                 break;
+            extra = m_extra ? m_extra() : "";
         }
         {
             const std::lock_guard lock(m_mutex);
@@ -461,6 +475,7 @@
     Record& m_record;
     std::string m_id;
     std::function<milliseconds(const Message&)> m_work;
+    std::function<std::string()> m_extra;
     std::int64_t m_born
         = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::uint16_t m_port = 0;
