--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -10,7 +10,7 @@
 constexpr milliseconds outages[] { 3800ms, 4000ms, 5200ms, 3700ms, 5400ms, 3800ms }; // One for each round.
 constexpr auto afterOutage = 3050ms; // Until the first removal.
 constexpr auto untilNextRemoval = 80ms;
-constexpr unsigned removalCount = 4;
+constexpr unsigned removalCount = 4; // Of twenty back ends: a share of 0.2.
 
 } // namespace
 
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -9,7 +9,7 @@
 
 constexpr unsigned turnedAwayCount = 3; // Of ten gateways: less than the share of 0.35.
 constexpr auto turnedAwayTime = 2s;
-constexpr milliseconds removals[] { 600ms, 950ms, 1300ms, 1650ms }; // After that time.
+constexpr milliseconds removals[] { 600ms, 950ms, 1300ms, 1650ms }; // After that time; a share of 0.2 of twenty back ends.
 constexpr auto roundPause = 4s; // Between the last removal and the next round.
 constexpr unsigned maxRounds = 10;
 
--- a/review/support/leaving.hh
+++ b/review/support/leaving.hh
@@ -13,6 +13,7 @@
 class LeavingStage {
 public:
     static constexpr unsigned gatewayCount = 10;
+    static constexpr unsigned backendCount = 20;
     static constexpr auto bookingInterval = 20ms;
     static constexpr auto servesOn = 7s; ///< How long a back end still serves after its entry was removed.
 
@@ -34,7 +35,7 @@
     bool start()
     {
         writeConfiguration(store, { { "booking", "unsafe", "/book/", "bookdesk", "3000ms" } });
-        for (unsigned n = 0; n < 6; ++n)
+        for (unsigned n = 0; n < backendCount; ++n)
             addBackend();
         m_heartbeats.start();
         for (unsigned n = 0; n < gatewayCount; ++n) {
