--- a/review/support/stage.hh
+++ b/review/support/stage.hh
@@ -664,6 +664,16 @@
         return -1;
     }
 
+    /// Starts the gateway again, with the same settings, if its process has ended. Returns whether it has. To be called
+    /// in the main thread: a gateway ends with the thread that started it.
+    bool startAgainIfEnded()
+    {
+        if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) != m_pid)
+            return false;
+        start();
+        return true;
+    }
+
 private:
     void start()
     {
