Hold the ports of test fleets until all are drawn

Cause: test::freePort closed the port that it returned, so the same port could be drawn twice for one fleet, or another process could take it.

Change: PortPool binds each port for TCP without listening, and keeps it for the life of the fleet; a server with SO_REUSEADDR can still listen on it. No check changed.

--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -107,8 +107,8 @@
     {
         const auto name = fmt::format("g{}", m_processes.size());
         const auto file = fmt::format("{}/{}.toml", m_directory, name);
-        callerPorts.push_back(test::freePort());
-        readyPorts.push_back(test::freePort());
+        callerPorts.push_back(m_ports.draw());
+        readyPorts.push_back(m_ports.draw());
         std::ofstream(file) << fmt::format(
             R"(instance = "{}"
 zone = "z1"
@@ -126,7 +126,7 @@
 window = "10s"
 slack = 62
 )",
-            name, callerPorts.back(), readyPorts.back(), test::freePort(), registryPort ? registryPort : store.port());
+            name, callerPorts.back(), readyPorts.back(), m_ports.draw(), registryPort ? registryPort : store.port());
         m_processes.push_back(std::make_unique<test::ChildProcess>(
             std::vector<std::string> { BINARY_DIR "/buckthorncroft-gateway", file }));
     }
@@ -182,6 +182,7 @@
 
 private:
     std::string m_directory;
+    test::PortPool m_ports;
     std::vector<std::unique_ptr<test::ChildProcess>> m_processes;
     std::atomic<unsigned> m_sent = 0;
 };
--- a/tests/io/entry_daemon_test.cpp
+++ b/tests/io/entry_daemon_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE EntryDaemon
 #include <boost/test/unit_test.hpp>
 
+#include "port_pool.h"
 #include "traffic_fixture.h"
 
 #include <buckthorncroft/daemon/settings.h>
@@ -47,11 +48,11 @@
     return { WEXITSTATUS(::pclose(pipe)), output };
 }
 
-/// Returns a port that was free when the function ran; another process may take it.
+/// Returns a free port that is held until this program ends.
 std::uint16_t freePort()
 {
-    RawTarget probe([](RawConnection&, unsigned) {});
-    return probe.port();
+    static PortPool ports;
+    return ports.draw();
 }
 
 std::string settingsText(std::uint16_t callers, std::uint16_t operators, const std::string& configuration)
--- a/tests/io/process_fleet.h
+++ b/tests/io/process_fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "port_pool.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -61,14 +63,6 @@
     pid_t m_pid = -1;
 };
 
-/// Returns a port that was free at the time of the call.
-inline std::uint16_t freePort()
-{
-    using tcp = boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    return tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
-}
-
 /// Sends a GET request and returns status and body; status 0 if there is no complete response.
 inline std::pair<unsigned, std::string> get(std::uint16_t port, const std::string& path)
 {
@@ -163,7 +157,7 @@
 
     void startTarget(unsigned number)
     {
-        m_targetPorts.push_back(freePort());
+        m_targetPorts.push_back(m_ports.draw());
         m_targets.push_back(std::make_unique<ChildProcess>(
             std::vector<std::string> { programPath("standin-target"), "--port", std::to_string(m_targetPorts.back()),
                 "--id", fmt::format("b{}", number), "--service-ms", "20", "--seed", std::to_string(number + 1) }));
@@ -172,14 +166,14 @@
     void startEntry()
     {
         const auto number = m_entries.size();
-        m_callerPorts.push_back(freePort());
-        m_operatorPorts.push_back(freePort());
+        m_callerPorts.push_back(m_ports.draw());
+        m_operatorPorts.push_back(m_ports.draw());
         const auto file = fmt::format("{}/entry-{}.toml", m_directory, number);
         std::ofstream(file) << fmt::format(
             "instance = \"e{}\"\nzone = \"z1\"\ncallers = \"127.0.0.1:{}\"\noperators = \"127.0.0.1:{}\"\n"
             "inner = \"127.0.0.1:{}\"\nconfiguration_file = \"{}/configuration.toml\"\nbalancer_lag_ms = 1500\n"
             "log_level = \"error\"\n[operators_tls]\nplaintext = true\n[inner_tls]\nplaintext = true\n",
-            number, m_callerPorts.back(), m_operatorPorts.back(), freePort(), m_directory);
+            number, m_callerPorts.back(), m_operatorPorts.back(), m_ports.draw(), m_directory);
         m_entries.push_back(
             std::make_unique<ChildProcess>(std::vector<std::string> { programPath("buckthorncroft"), file }));
     }
@@ -209,6 +203,7 @@
     }
 
     std::string m_directory;
+    PortPool m_ports;
     std::vector<std::uint16_t> m_targetPorts;
     std::vector<std::uint16_t> m_callerPorts;
     std::vector<std::uint16_t> m_operatorPorts;
