Let stopServesNewConnectionsAndClosesKeptOnes wait until the session is idle

Cause: the test posted the stop when it had read the response.

Change: CallerSession::isIdle names the state that stop() already tested; the test waits for it before it posts the stop. All checks stay.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -385,7 +385,7 @@
 void CallerSession::stop()
 {
     http::error_code ec;
-    if (m_idle && m_interruptible && mayCloseIdle())
+    if (isIdle() && mayCloseIdle())
         m_connection->socket().cancel(ec);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -24,6 +24,9 @@
     /// Ends all requests in flight with their final response.
     void endRequests();
 
+    /// Whether the session waits for a request and none is in flight.
+    bool isIdle() const { return m_idle && m_interruptible; }
+
 private:
     using StreamMessage = http::bhttp::response<http::bhttp::buffer_body>;
     using StreamSerializer = http::bhttp::response_serializer<http::bhttp::buffer_body>;
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -195,6 +195,8 @@
     const auto kept = start();
     kept->send(request("1", "POST", "a"));
     BOOST_TEST(kept->readMessage().ends_with("body 1"));
+    // A session that resumes after its response while the process stops may close the connection at once.
+    BOOST_REQUIRE(waitUntilIdle(0));
     std::promise<std::shared_ptr<RawConnection>> accepted;
     http::asio::post(io, [&] {
         context.stopping = context.closingKeptConnections = true;
--- a/tests/gateway/flow_fixture.h
+++ b/tests/gateway/flow_fixture.h
@@ -6,6 +6,7 @@
 #include <buckthorncroft/gateway/settings.h>
 #include <deque>
 #include <fstream>
+#include <future>
 #include <map>
 #include <optional>
 
@@ -136,6 +137,22 @@
         return caller;
     }
 
+    /// Waits until the `n`th session waits for a request and has none in flight. Returns false if it has ended.
+    bool waitUntilIdle(std::size_t n)
+    {
+        while (true) {
+            std::promise<std::optional<bool>> result;
+            http::asio::post(io, [&] {
+                const auto session = sessions.at(n).lock();
+                result.set_value(session ? std::optional(session->isIdle()) : std::nullopt);
+            });
+            const auto isIdle = result.get_future().get();
+            if (!isIdle || *isIdle)
+                return isIdle.has_value();
+            std::this_thread::sleep_for(1ms);
+        }
+    }
+
     /// Returns the resident memory of this process.
     static std::size_t residentBytes()
     {
