Relay each removal in the delta that covers its version

Cause: a reader that had lost the store less than 2.5 s ago delays a removal, and left it out of its delta, which still carried the registry's new version. Receivers skipped that part of the history. The reader repeated the removal later, but only while it was a reader; after an outage that is a moment.

The new test plays a reader that fails for 2 s and then reads a removal; the delta that covers the version does not contain it: delayedRemovalIsRelayedWithItsVersion failed at wasRemovalRelayed("b", version).

Change: a delta contains all removals of its versions. Each receiver decides by what it has seen itself whether it delays one. The later repetition is needless and removed, so a delta up to the own version has nothing new.

--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -26,9 +26,6 @@
     constexpr milliseconds targetsWaitTimeout { 300 };
     constexpr milliseconds targetsPollInterval { 700 };
 
-    // A delayed removal is part of all deltas for this time.
-    constexpr milliseconds removalRepeatTime { 3000 };
-
     // Backoff while the registry is unreachable, because all instances retry and each call is charged.
     constexpr milliseconds minRetryDelay { 250 };
     constexpr milliseconds maxRetryDelay { 1000 };
@@ -258,13 +255,14 @@
         replaceTargets(update);
         return;
     }
-    TargetDelta delta { m_targetsRegistryVersion, update.version, delayedRemovals() };
+    TargetDelta delta { m_targetsRegistryVersion, update.version, {} };
     bool changed = false;
     for (const auto& it : update.changes) {
-        if (!applyChange(it, "registry"))
-            continue;
-        changed = true;
-        delta.changes.push_back(it);
+        const bool applied = applyChange(it, "registry");
+        changed = changed || applied;
+        // Each receiver decides for itself whether it delays a removal. It does not read this version again.
+        if (applied || !it.record)
+            delta.changes.push_back(it);
     }
     m_targetsRegistryVersion = std::max(m_targetsRegistryVersion, update.version);
     if (changed)
@@ -329,28 +327,10 @@
     return changed;
 }
 
-// Returns the removals to repeat in the next delta: datagrams can be lost, and a receiver ignores those of a reader
-// that is behind it.
-std::vector<TargetChange> RegistryWatcher::delayedRemovals()
-{
-    const auto targets = m_directory.targets();
-    const auto isListed = [&](const std::string& id) {
-        return std::any_of(targets->services.begin(), targets->services.end(),
-            [&](const auto& service) { return service.second.contains(id); });
-    };
-    std::erase_if(m_delayedRemovals,
-        [&](const auto& it) { return m_clock.now() - it.second > removalRepeatTime || isListed(it.first); });
-    std::vector<TargetChange> result;
-    for (const auto& [id, removedAt] : m_delayedRemovals)
-        result.push_back({ id, std::nullopt });
-    return result;
-}
-
 void RegistryWatcher::applyDelayedRemovals()
 {
     const auto removed = m_directory.applyDueRemovals(m_clock.now());
     for (const auto& it : removed) {
-        m_delayedRemovals[it] = m_clock.now();
         m_log.write(observe::Level::Info, "target_changed",
             { { "target", it }, { "state", "gone" }, { "source", "not registered again" } });
     }
@@ -360,9 +340,7 @@
 
 void RegistryWatcher::applyDelta(const TargetDelta& delta)
 {
-    // A delta up to the own version may contain delayed removals, which do not change the version. Other changes in it
-    // are known already.
-    if (m_targetsRegistryVersion == 0 || delta.toVersion < m_targetsRegistryVersion)
+    if (m_targetsRegistryVersion == 0 || delta.toVersion <= m_targetsRegistryVersion)
         return;
     if (delta.fromVersion > m_targetsRegistryVersion) {
         m_deltaMissed = true;
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -68,7 +68,6 @@
     void reportMalformed(const TargetsUpdate& update, bool isFullListing);
     bool applyChange(const TargetChange& change, const char* source);
     void applyDelayedRemovals();
-    std::vector<TargetChange> delayedRemovals();
     void recordFailure(const char* dataSet, const base::Error& error, bool& isUnreachable);
     void recordSuccess(const char* dataSet, bool& isUnreachable);
 
@@ -88,7 +87,6 @@
     http::asio::steady_timer m_routesTimer; ///< Cancelled when there is news about routes.
     RegistryVersion m_targetsRegistryVersion = 0; ///< 0: the next read is a full listing.
     std::map<std::string, std::string> m_malformedEntries; ///< Logged reason of each entry that is invalid now, by id.
-    std::map<std::string, base::SteadyTime> m_delayedRemovals; ///< When each was applied, by target id.
     std::chrono::milliseconds m_targetsRetryDelay;
     bool m_routesStale = false; ///< The next read is a full read, whatever a read in flight returns.
     bool m_targetsStale = false;
