Delay removals only after real outages of the registry, until their end + 2 s

Cause: each failed read of an instance counted as an outage of the store, in which entries of running targets expire. Removals were then delayed by 1.5 s from each removal, and applied only between two reads: 0.7 s later, or after the timeout of a silent store.

Change: RegistryOutageDetector decides from the reads of an instance and the responses that readers relay whether there was an outage: no response from anywhere for 1.3 s, and an own read failed or is overdue. Removals are delayed until 2 s after its end, as the platform states for entries of running targets, and a timer applies them. The event target_removal_delayed is logged.

In target_directory_test the outage is now made by the detector; its times and checks are the same.

--- a/include/buckthorncroft/membership/target_directory.h
+++ b/include/buckthorncroft/membership/target_directory.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <buckthorncroft/base/clock.h>
+#include <buckthorncroft/membership/registry_outage.h>
 #include <buckthorncroft/membership/target_record.h>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,9 +39,15 @@
 /// targets. Not safe for concurrent use.
 ///
 /// During an outage of the registry, entries may expire although their targets run. Removals that are read shortly
-/// after an outage are therefore delayed, so that running targets can register again.
+/// after an outage are therefore delayed until running targets have registered again.
 class TargetDirectory {
 public:
+    /// `outage` must outlive the directory.
+    explicit TargetDirectory(const RegistryOutageDetector& outage)
+        : m_outage(outage)
+    {
+    }
+
     /// Adds or updates a target that the registry lists at `now`. Records older than the stored one are ignored.
     /// Returns whether anything changed that affects routing.
     bool upsert(const TargetRecord& record, base::SteadyTime now);
@@ -52,12 +60,15 @@
     /// changed that affects routing.
     bool replaceAll(const std::vector<TargetRecord>& records, base::SteadyTime now);
 
-    /// Records that a read of the registry failed at `now`. Must be called for each failed read.
-    void recordFailedRead(base::SteadyTime now) { m_lastFailedReadAt = now; }
-
     /// Removes the targets whose delayed removal is due, and returns their ids.
     std::vector<std::string> applyDueRemovals(base::SteadyTime now);
 
+    /// Returns when the next delayed removal is due, if there is any.
+    std::optional<base::SteadyTime> nextRemovalAt() const;
+
+    /// Whether the removal of the target is delayed.
+    bool isRemovalDelayed(const std::string& id) const { return m_pendingRemovals.contains(id); }
+
     /// Records that a target announced in a response that it leaves. It stays draining for the rest of its lifetime,
     /// whatever the registry lists. An announcement of an earlier lifetime is ignored. Returns whether anything changed
     /// that affects routing.
@@ -90,11 +101,11 @@
     bool erase(const std::string& id);
     TargetSet& copyForUpdate();
 
+    const RegistryOutageDetector& m_outage;
     std::shared_ptr<TargetSet> m_targets = std::make_shared<TargetSet>();
     std::map<std::string, KnownTarget> m_knownTargets; ///< By target id.
-    std::map<std::string, base::SteadyTime> m_pendingRemovals; ///< Delayed removals: when each was read, by target id.
+    std::map<std::string, base::SteadyTime> m_pendingRemovals; ///< Delayed removals: when each is due, by target id.
     std::map<std::string, Announcement> m_leaving; ///< Targets that announced that they leave, by id.
-    base::SteadyTime m_lastFailedReadAt {};
 };
 
 } // namespace buckthorncroft::membership
--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -47,6 +47,7 @@
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
     , m_routesTimer(io)
+    , m_removalTimer(io)
     , m_targetsRetryDelay(minRetryDelay)
 {
 }
@@ -208,7 +209,6 @@
 {
     while (true) {
         const auto startedAt = m_clock.now();
-        applyDelayedRemovals();
         const bool isStale = std::exchange(m_targetsStale, false);
         if (isStale)
             m_targetsRegistryVersion = 0;
@@ -227,20 +227,25 @@
 http::Awaitable<void> RegistryWatcher::pollTargets()
 {
     const bool isFullListing = m_targetsRegistryVersion == 0;
+    m_outage.recordReadStart(m_clock.now());
     auto operation = isFullListing ? m_registry.readTargets()
                                    : m_registry.waitForTargets(m_targetsRegistryVersion, targetsWaitTimeout);
     auto update = co_await std::move(operation);
+    const bool hasResponded = update || update.error().code == base::ErrorCode::NotFound;
+    if (hasResponded)
+        m_outage.recordReadSuccess(m_clock.now());
+    else
+        m_outage.recordReadFailure();
     if (update) {
         recordSuccess("targets", m_targetsUnreachable);
         m_targetsRetryDelay = minRetryDelay;
         applyTargets(update.value(), isFullListing);
         co_return;
     }
-    if (update.error().code == base::ErrorCode::NotFound) {
+    if (hasResponded) {
         m_targetsRegistryVersion = 0;
         co_return;
     }
-    m_directory.recordFailedRead(m_clock.now());
     recordFailure("targets", update.error(), m_targetsUnreachable);
     if (m_relay.role() == ReaderRole::Reader)
         m_relay.sendRegistryUnreachable();
@@ -309,6 +314,7 @@
             records.push_back(*it.record);
     }
     m_directory.replaceAll(records, m_clock.now());
+    scheduleDelayedRemovals();
     m_targetsRegistryVersion = update.version;
     m_log.write(observe::Level::Info, "targets_listed",
         { { "targets", std::to_string(records.size()) }, { "registry_version", std::to_string(update.version) } });
@@ -323,10 +329,27 @@
         const char* state = !change.record ? "gone" : change.record->draining ? "draining" : "ready";
         m_log.write(observe::Level::Info, "target_changed",
             { { "target", change.id }, { "state", state }, { "source", source } });
+    } else if (!change.record && m_directory.isRemovalDelayed(change.id)) {
+        m_log.write(observe::Level::Info, "target_removal_delayed", { { "target", change.id }, { "source", source } });
+        scheduleDelayedRemovals();
     }
     return changed;
 }
 
+void RegistryWatcher::scheduleDelayedRemovals()
+{
+    const auto dueAt = m_directory.nextRemovalAt();
+    if (!dueAt)
+        return;
+    m_removalTimer.expires_at(*dueAt);
+    m_removalTimer.async_wait([this](http::error_code ec) {
+        if (ec)
+            return;
+        applyDelayedRemovals();
+        scheduleDelayedRemovals();
+    });
+}
+
 void RegistryWatcher::applyDelayedRemovals()
 {
     const auto removed = m_directory.applyDueRemovals(m_clock.now());
@@ -340,6 +363,7 @@
 
 void RegistryWatcher::applyDelta(const TargetDelta& delta)
 {
+    m_outage.recordRelayedResponse(m_clock.now());
     if (m_targetsRegistryVersion == 0 || delta.toVersion <= m_targetsRegistryVersion)
         return;
     if (delta.fromVersion > m_targetsRegistryVersion) {
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -67,6 +67,7 @@
     void replaceTargets(const TargetsUpdate& update);
     void reportMalformed(const TargetsUpdate& update, bool isFullListing);
     bool applyChange(const TargetChange& change, const char* source);
+    void scheduleDelayedRemovals();
     void applyDelayedRemovals();
     void recordFailure(const char* dataSet, const base::Error& error, bool& isUnreachable);
     void recordSuccess(const char* dataSet, bool& isUnreachable);
@@ -79,7 +80,8 @@
     RegistryRelay& m_relay;
     PeerRecord m_self;
     Handlers m_handlers;
-    membership::TargetDirectory m_directory;
+    membership::RegistryOutageDetector m_outage;
+    membership::TargetDirectory m_directory { m_outage };
     std::uint64_t m_appliedRoutesVersion = 0; ///< Version of the routes in force.
     RegistryVersion m_routesRegistryVersion = 0; ///< 0: the next read is a full read.
     std::uint64_t m_wantedRoutesVersion = 0; ///< Newest version that a peer announced and that is not in force yet.
@@ -87,6 +89,7 @@
     http::asio::steady_timer m_routesTimer; ///< Cancelled when there is news about routes.
     RegistryVersion m_targetsRegistryVersion = 0; ///< 0: the next read is a full listing.
     std::map<std::string, std::string> m_malformedEntries; ///< Logged reason of each entry that is invalid now, by id.
+    http::asio::steady_timer m_removalTimer; ///< Expires when a delayed removal is due.
     std::chrono::milliseconds m_targetsRetryDelay;
     bool m_routesStale = false; ///< The next read is a full read, whatever a read in flight returns.
     bool m_targetsStale = false;
--- a/src/membership/target_directory.cpp
+++ b/src/membership/target_directory.cpp
@@ -1,19 +1,12 @@
 #include <buckthorncroft/membership/target_directory.h>
 
+#include <algorithm>
 #include <set>
 
 namespace buckthorncroft::membership {
 
 namespace {
 
-    // How long a removal after an outage is delayed. A running target registers again within about 2 s of the
-    // registry's return. The delay stays below 2 s because the platform requires removals to take effect within the 2 s
-    // that it allows for draining.
-    constexpr std::chrono::milliseconds removalDelay { 1500 };
-
-    // Removals that are read within this time after the last failed read may be a result of the outage.
-    constexpr std::chrono::milliseconds outageRecoveryPeriod { 2500 };
-
     bool routingDiffers(const TargetRecord& a, const TargetRecord& b)
     {
         return a.service != b.service || a.host != b.host || a.port != b.port || a.zone != b.zone || a.slots != b.slots
@@ -124,10 +117,8 @@
     const auto* entry = find(id);
     if (!entry)
         return false;
-    const bool isAfterOutage
-        = m_lastFailedReadAt != base::SteadyTime {} && now - m_lastFailedReadAt < outageRecoveryPeriod;
-    if (isAfterOutage && !entry->record.draining) {
-        m_pendingRemovals.emplace(id, now);
+    if (m_outage.isRecovering(now) && !entry->record.draining) {
+        m_pendingRemovals.emplace(id, m_outage.recoveryEnd());
         return false;
     }
     m_pendingRemovals.erase(id);
@@ -152,11 +143,19 @@
     return changed;
 }
 
+std::optional<base::SteadyTime> TargetDirectory::nextRemovalAt() const
+{
+    std::optional<base::SteadyTime> result;
+    for (const auto& [id, dueAt] : m_pendingRemovals)
+        result = std::min(result.value_or(dueAt), dueAt);
+    return result;
+}
+
 std::vector<std::string> TargetDirectory::applyDueRemovals(base::SteadyTime now)
 {
     std::vector<std::string> result;
     for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
-        if (now - it->second < removalDelay) {
+        if (now < it->second) {
             ++it;
             continue;
         }
--- a/tests/core/target_directory_test.cpp
+++ b/tests/core/target_directory_test.cpp
@@ -21,8 +21,18 @@
 struct Fixture {
     bool lists(const std::string& id) const { return directory.targets()->find("stock", id) != nullptr; }
 
+    /// Simulates an outage of the registry that ends when the function returns.
+    void endOutage()
+    {
+        outage.recordReadSuccess(clock.now());
+        clock.advance(3s);
+        outage.recordReadFailure();
+        outage.recordReadSuccess(clock.now());
+    }
+
     base::ManualClock clock;
-    TargetDirectory directory;
+    membership::RegistryOutageDetector outage;
+    TargetDirectory directory { outage };
 };
 
 } // namespace
@@ -41,7 +51,7 @@
 {
     directory.upsert(record("alive"), clock.now());
     directory.upsert(record("dead"), clock.now());
-    directory.recordFailedRead(clock.now());
+    endOutage();
     clock.advance(1s);
     directory.remove("alive", clock.now());
     directory.remove("dead", clock.now());
@@ -54,13 +64,39 @@
     BOOST_TEST(!lists("dead"));
 }
 
+// Guards against requests to a target that left when the registry had been back for so long that its entry cannot have
+// expired in the outage.
+BOOST_FIXTURE_TEST_CASE(removalAfterTheRecoveryTakesEffectAtOnce, Fixture)
+{
+    directory.upsert(record("a"), clock.now());
+    endOutage();
+    clock.advance(membership::RegistryOutageDetector::reregistrationTime);
+    BOOST_TEST(directory.remove("a", clock.now()));
+    BOOST_TEST(!lists("a"));
+}
+
+// Guards against a delay that starts with each removal, so that a target which leaves shortly after an outage receives
+// requests for too long.
+BOOST_FIXTURE_TEST_CASE(delayEndsWithTheRecovery, Fixture)
+{
+    directory.upsert(record("a"), clock.now());
+    endOutage();
+    clock.advance(membership::RegistryOutageDetector::reregistrationTime - 1ms);
+    BOOST_TEST(!directory.remove("a", clock.now()));
+    BOOST_REQUIRE(directory.nextRemovalAt());
+    BOOST_TEST((*directory.nextRemovalAt() - clock.now() == 1ms));
+    clock.advance(1ms);
+    BOOST_TEST(directory.applyDueRemovals(clock.now()).size() == 1u);
+    BOOST_TEST(!directory.nextRemovalAt());
+}
+
 // Guards against delaying the removal of a target that announced its drain.
 BOOST_FIXTURE_TEST_CASE(drainingTargetIsNotHeldAfterAnOutage, Fixture)
 {
     auto leaving = record("a");
     leaving.draining = true;
     directory.upsert(leaving, clock.now());
-    directory.recordFailedRead(clock.now());
+    endOutage();
     directory.remove("a", clock.now());
     BOOST_TEST(!lists("a"));
 }
@@ -109,7 +145,7 @@
 BOOST_FIXTURE_TEST_CASE(outdatedRecordDoesNotCancelARemoval, Fixture)
 {
     directory.upsert(record("a", 5), clock.now());
-    directory.recordFailedRead(clock.now());
+    endOutage();
     directory.remove("a", clock.now());
     clock.advance(1s);
     directory.upsert(record("a", 4), clock.now());
--- a/tests/gateway/registry_watcher_test.cpp
+++ b/tests/gateway/registry_watcher_test.cpp
@@ -232,3 +232,31 @@
     BOOST_TEST(isListed("b"));
     BOOST_TEST(wasRemovalRelayed("b", version));
 }
+
+// Guards against requests to a target that left, from an instance which knows of it from a peer, because the registry
+// turned this instance away. An outage, in which entries of running targets expire, would also stop the peer's reads.
+BOOST_FIXTURE_TEST_CASE(removalTakesEffectAtOnceWhileThePeersAreServed, Fixture)
+{
+    registry.isFailing = true;
+    const auto version = registry.version();
+    for (unsigned n = 0; n < 8; ++n) {
+        receive(version, version);
+        runFor(250ms);
+    }
+    receive(version, version + 1, "b");
+    BOOST_TEST(!isListed("b"));
+}
+
+// Guards against a delayed removal that waits for a read which the registry does not answer.
+BOOST_FIXTURE_TEST_CASE(delayedRemovalNeedsNoFurtherRead, Fixture)
+{
+    registry.isFailing = true;
+    runFor(outage);
+    registry.isFailing = false;
+    registry.remove("b");
+    runFor(readTime);
+    BOOST_REQUIRE(isListed("b"));
+    registry.responseDelay = 10s;
+    runFor(membership::RegistryOutageDetector::reregistrationTime);
+    BOOST_TEST(!isListed("b"));
+}
