Ignore reads of the registry that a peer's delta has overtaken

What callers would see: a target that left is used again, for good. A read that began before the target left lists it; if a peer relays the removal while the response is on its way, the response added the target again, and the version did not go back, so nothing removed it.

Change: a response whose version is older than the directory's is ignored. All its changes are known from the delta.

--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -260,6 +260,9 @@
         replaceTargets(update);
         return;
     }
+    // A peer's delta was newer than this response. Its changes are known, and some may have been undone since.
+    if (update.version < m_targetsRegistryVersion)
+        return;
     TargetDelta delta { m_targetsRegistryVersion, update.version, {} };
     bool changed = false;
     for (const auto& it : update.changes) {
@@ -269,7 +272,7 @@
         if (applied || !it.record)
             delta.changes.push_back(it);
     }
-    m_targetsRegistryVersion = std::max(m_targetsRegistryVersion, update.version);
+    m_targetsRegistryVersion = update.version;
     if (changed)
         m_handlers.onTargets(m_directory.targets());
     if (m_relay.role() == ReaderRole::Reader)
--- a/tests/gateway/registry_watcher_test.cpp
+++ b/tests/gateway/registry_watcher_test.cpp
@@ -260,3 +260,19 @@
     runFor(membership::RegistryOutageDetector::reregistrationTime);
     BOOST_TEST(!isListed("b"));
 }
+
+// Guards against a target that left and is used again: a read that began before it left returns after a peer has
+// relayed its removal.
+BOOST_FIXTURE_TEST_CASE(outdatedReadDoesNotRestoreATarget, Fixture)
+{
+    registry.responseDelay = 200ms;
+    registry.put("b");
+    const auto version = registry.version();
+    while (registry.pendingVersion != version)
+        runFor(5ms);
+    receive(version - 1, version + 1, "b");
+    BOOST_TEST(!isListed("b"));
+    while (registry.pendingVersion)
+        runFor(5ms);
+    BOOST_TEST(!isListed("b"));
+}
