Reject requests that arrive late in a planned stop

Cause: new connections are accepted for 3.6 s and their requests passed on until 4.1 s after SIGTERM, but all requests in flight end 0.4 s before the grace period does. The balancer uses stopping instances when fewer than half of a zone are in rotation.

Change: TrafficContext has the schedule of the stop. A request that is read later than 2.9 s after the signal and whose deadline lies beyond the end of the process gets 503 with Retry-After 0.1 s, before a slot is requested. A request whose deadline ends before the process is served as before.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -35,6 +35,10 @@
     // After the listener was closed, a connection without a request waits this long for its first one.
     constexpr milliseconds firstRequestTimeout { 500 };
 
+    // Requests that are read later after the stop signal are rejected, because the grace period can end while their
+    // targets work. The load balancer has removed the instance by then, unless it has too few others.
+    constexpr milliseconds lastRequestDelay { 2900 };
+
     // Reserved at the end of the grace period for the process to exit.
     constexpr milliseconds shutdownMargin { 400 };
 
@@ -152,7 +156,7 @@
             const auto startedAt = m_clock.now();
             const auto deadline = startedAt + m_settings.gracePeriod - shutdownMargin;
             m_log.write(observe::Level::Info, "stopping", { { "active", std::to_string(m_context.activeRequests) } });
-            m_traffic.announceStop();
+            m_traffic.announceStop({ startedAt + lastRequestDelay, deadline });
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
             m_traffic.closeKeptCallerConnections();
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -19,8 +19,12 @@
     /// Accepts connections until `stopAccepting`.
     void start();
 
-    /// From now on each response carries `Connection: close`.
-    void announceStop() { m_context.stopping = true; }
+    /// From now on each response carries `Connection: close`, and requests are rejected as `schedule` says.
+    void announceStop(const StopSchedule& schedule)
+    {
+        m_context.stopping = true;
+        m_context.stopSchedule = schedule;
+    }
 
     /// Closes caller connections that have carried a request and are idle, now and whenever one becomes idle. New
     /// connections still wait for their first request.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -24,6 +24,10 @@
 
     // Retry-After of a rejection for which the dispatch point gave no delay.
     constexpr milliseconds defaultRetryAfter { 500 };
+
+    // Retry-After of a stopping instance. Another instance can serve the request at once.
+    constexpr milliseconds stopRetryAfter { 100 };
+
     constexpr double maxRetryAfterFraction = 0.3; ///< Of the caller's remaining time.
 
     // Requests that arrive before the first routes and targets wait this long for them. An instance that has just
@@ -143,10 +147,19 @@
         = std::min(parseDeadlineHeader(m_request, m_context.names).value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrivedAt + timeLimit - responseMargin;
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
+    if (arrivedTooLateInStop())
+        return reject(503, "the instance stops");
     m_service = routing::chooseService(*m_route, std::uniform_real_distribution<double>(0, 1)(m_context.random));
     return std::nullopt;
 }
 
+// Whether the process may end while a target still runs the request.
+bool RequestFlow::arrivedTooLateInStop() const
+{
+    const auto& schedule = m_context.stopSchedule;
+    return schedule && m_context.clock.now() >= schedule->lastRequestAt && m_deadline > schedule->endsAt;
+}
+
 void RequestFlow::prepareForwardedRequest()
 {
     m_forwardedRequest = std::make_shared<ForwardedRequest>();
@@ -431,6 +444,8 @@
     if (status == 503) {
         const auto now = m_context.clock.now();
         auto wait = m_slotRefusal && m_slotRefusal->retryAfter.count() ? m_slotRefusal->retryAfter : defaultRetryAfter;
+        if (m_ending || arrivedTooLateInStop())
+            wait = stopRetryAfter;
         wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
         if (m_route)
             wait = std::min(wait, duration_cast<milliseconds>((m_deadline - now) * maxRetryAfterFraction));
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -81,6 +81,7 @@
     MaybeResponse fail(const std::string& reason);
     CallerResponse relay(TargetAttempt& attempt, std::shared_ptr<StreamedBody> stream = nullptr);
     CallerResponse reject(unsigned status, const std::string& reason);
+    bool arrivedTooLateInStop() const;
     void reportAttempt(RunningAttempt& it);
     std::shared_ptr<StreamedBody> makeStream(const RunningAttempt& attempt);
     bool mayUse(const membership::DirectoryEntry* target) const;
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -13,6 +13,7 @@
 #include <buckthorncroft/routing/route_table.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace buckthorncroft::gateway {
@@ -55,6 +56,12 @@
         = 0;
 };
 
+/// The end of a process that stops. Both times count from the stop signal.
+struct StopSchedule {
+    base::SteadyTime lastRequestAt; ///< Requests that are read later are rejected if they could last beyond `endsAt`.
+    base::SteadyTime endsAt; ///< Requests in flight get their final response.
+};
+
 /// Dependencies and shared state of request processing. Belongs to the traffic thread unless a member says otherwise.
 struct TrafficContext {
     http::asio::io_context& io;
@@ -70,6 +77,7 @@
     TargetPauses pauses {}; ///< Targets that refuse requests of this instance.
     std::size_t activeRequests = 0; ///< Requests in flight.
     bool stopping = false; ///< Each response carries `Connection: close`.
+    std::optional<StopSchedule> stopSchedule {}; ///< Set while the process stops.
     bool closingKeptConnections = false; ///< Caller connections are closed when idle after their first request.
     bool closingIdleConnections = false; ///< All caller connections without a request are closed.
 };
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -234,6 +234,40 @@
     BOOST_TEST(caller->waitForPeerClose());
 }
 
+// Guards against a request that a target runs although the process ends before the response is due.
+BOOST_FIXTURE_TEST_CASE(requestThatMayOutliveTheProcessIsRejected, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t" };
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now() + 1000ms };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(headerOf(message, "Retry-After") == "0.100");
+    BOOST_TEST(caller->waitForPeerClose());
+    stopTraffic();
+    BOOST_TEST(placement.slotRequests.empty());
+}
+
+// Guards against rejecting a request that ends before the process does, whatever its target does.
+BOOST_FIXTURE_TEST_CASE(requestThatEndsBeforeTheProcessIsServed, FlowFixture)
+{
+    HeldTarget held(*this);
+    held.released = true;
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t" };
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now() + 5000ms };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    BOOST_TEST(caller->readMessage().ends_with("body 1"));
+}
+
 // Guards against request bodies that fill the memory before their size is checked.
 BOOST_FIXTURE_TEST_CASE(bodiesBeyondTheMemoryBudgetAreRejected, FlowFixture)
 {
--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -191,6 +191,7 @@
 constexpr auto configurationBound = 2s;
 constexpr auto drainBound = 2s;
 constexpr auto grace = 6s;
+constexpr auto lastRequestBound = 3s; // A request sent until then may be broken off at the end of the grace period.
 
 } // namespace
 
@@ -321,6 +322,21 @@
     BOOST_TEST(answered > 100u);
 }
 
+// Guards against requests that are accepted late in a planned stop and broken off at its end while their target works.
+// The load balancer uses stopping instances when it has too few others.
+BOOST_FIXTURE_TEST_CASE(requestsThatArriveLateInAStopAreRejected, Fleet)
+{
+    const Target slow(2800ms);
+    configure("unsafe");
+    listTarget("i-1", slow);
+    startReady(1);
+    process(0).signal(SIGTERM);
+    std::this_thread::sleep_for(lastRequestBound);
+    BOOST_TEST(send(0) == 503u);
+    BOOST_TEST(slow.requestCount() == 0u);
+    BOOST_TEST(process(0).wait() == 0);
+}
+
 // Guards against an instance that stops following the targets, or ends, because another program wrote an entry that
 // cannot be read: at the start and later.
 BOOST_FIXTURE_TEST_CASE(invalidEntriesDoNotStopAnInstance, Fleet)
