Trust rejections on reused connections only with the request's id

Cause: a response without a request id was taken for the response to the current request, on reused connections as well.

Change: CallRules::requireRequestId, set for reused connections of the gateway: a response without an id is skipped like one with another id. On a new connection nothing earlier can arrive.

--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -27,9 +27,12 @@
 
     constexpr unsigned misdirectedRequestStatus = 421;
 
-    http::CallRules makeCallRules(const HeaderNames& names)
+    http::CallRules makeCallRules(const HeaderNames& names, bool isReused)
     {
         http::CallRules result;
+        // A reused connection can still deliver a copy of an earlier response. Without an id it could not be told from
+        // a rejection of this request.
+        result.requireRequestId = isReused;
         result.idHeader = names.requestId;
         result.allowCloseDelimitedResponses = true;
         result.rejectTrailingBytes = false;
@@ -120,11 +123,11 @@
     m_connection = m_context.pool.take(m_target.id, m_target.startedAtUnixMs, !isIdempotent());
     if (m_connection) {
         m_reused = true;
-        m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names));
+        m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names, true));
         co_return true;
     }
     m_connection = std::make_shared<http::Connection>(m_context.io);
-    m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names));
+    m_call = std::make_unique<http::TargetCall>(m_connection, makeCallRules(m_context.names, false));
     http::error_code ec;
     const auto address = http::asio::ip::make_address(m_target.host, ec);
     if (ec)
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -144,7 +144,7 @@
         if (!read)
             co_return failureResult();
         const auto echoed = m_parser->get()[m_rules.idHeader];
-        if (echoed.empty() || echoed == id)
+        if (echoed == id || (echoed.empty() && !m_rules.requireRequestId))
             break;
         const bool skipped = co_await skipMismatchedResponse();
         if (!skipped) {
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -34,6 +34,7 @@
     std::string idHeader = requestIdHeader; ///< Request id header that targets echo.
     bool allowCloseDelimitedResponses = false; ///< A response without a length may end with the connection.
     bool rejectTrailingBytes = true; ///< Bytes after a response invalidate the response, not only the connection.
+    bool requireRequestId = false; ///< A response without a request id counts as a response to another request.
     unsigned maxMismatchedResponses = 0; ///< Responses to other requests that are skipped before the call fails.
 };
 
@@ -55,7 +56,7 @@
     Awaitable<bool> sendBodyPiece(std::string_view piece);
 
     /// Reads the head of the final response, skipping interim ones, and its body up to `maxBufferedBodyBytes`. `id` is
-    /// the request id that the response must echo, if it echoes one.
+    /// the request id that the response must echo, if it echoes one or `CallRules::requireRequestId` is set.
     Awaitable<CallResult> readResponse(bhttp::verb method, std::string id);
 
     /// Waits for 100 Continue and returns true when it is received. Returns false if a final head or an error came
