Test that responses with endless heads or framing stay within the memory

Operators of similar systems report a machine that ran out of memory because a faulty target sent bytes that are no response without end. Bodies have a test (responsesWithoutEndDoNotFillTheMemory). This one covers a first line, a header field, interim responses, responses to other requests and a chunk extension without end, 200 at once.

--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -477,3 +477,40 @@
     std::this_thread::sleep_for(1000ms);
     BOOST_TEST(caller->readMessage().size() > body.size());
 }
+
+// Guards against a target that fills the memory of the process with bytes that are no response and have no end: in a
+// head, in interim responses, in responses to other requests, and in the framing of a body.
+BOOST_FIXTURE_TEST_CASE(headsWithoutEndDoNotFillTheMemory, FlowFixture)
+{
+    constexpr unsigned callerCount = 200;
+    constexpr std::size_t maxGrowth = std::size_t { 64 } << 20;
+    const std::string head = "HTTP/1.1 200 OK\r\n" + names.requestId + ": 1\r\n" + names.signature + ": proof\r\n";
+    const std::string filler(65'536, 'x');
+    const std::vector<std::pair<std::string, std::string>> streams { { "", filler }, { head + "X-Long: ", filler },
+        { "", "HTTP/1.1 103 Early Hints\r\nX-Long: " + filler.substr(0, 32'768) + "\r\n\r\n" },
+        { "HTTP/1.1 200 OK\r\n" + names.requestId + ": 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "10000\r\n" + filler + "\r\n" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n1;a=", filler } };
+    RawTarget target([&](RawConnection& peer, unsigned n) {
+        peer.readMessage();
+        const auto& [begin, piece] = streams[n % streams.size()];
+        peer.send(begin);
+        while (peer.sendFor(piece, 300ms)) { }
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 1500ms);
+    placement.grants.assign(callerCount, "t");
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    callers.push_back(start());
+    const auto before = residentBytes();
+    for (unsigned n = 1; n < callerCount; ++n)
+        callers.push_back(connectCaller());
+    for (auto& it : callers)
+        it->send(request("1", "POST", "a"));
+    std::this_thread::sleep_for(1000ms);
+    const auto growth = residentBytes() - before;
+    BOOST_TEST_MESSAGE("memory grew by " << (growth >> 20) << " MB");
+    BOOST_TEST(growth < maxGrowth);
+    for (auto& it : callers)
+        BOOST_TEST(!it->readMessage().starts_with("HTTP/1.1 2"));
+}
