Check the head of a request before anything behind it is read

The upload had the transfer coding gzip and no length, so the parser took it for a request without a body.

Cause: the head was checked only when the request was processed. The rejection waits for the responses before it, and until it was written, the session read the body as further requests.

Change: CallerSession::readRequest checks the head, queues the rejection and reads no more. RequestFlow needs no check any more. The log line request_rejected_unread names the request.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -149,6 +149,11 @@
         handleReadError(ec);
         co_return false;
     }
+    // Must precede the body: if its framing is not supported, the body would be read as further requests.
+    if (const auto rejection = http::checkRequestHead(parser.get().base())) {
+        rejectUnread(rejection->status, rejection->reason, std::string(parser.get()[m_context.names.requestId]));
+        co_return false;
+    }
     auto memory = std::make_unique<limits::MemoryReservation>(m_context.memory);
     const bool whole = co_await readBody(parser, *memory);
     // The response that closes the connection may have been chosen while the body arrived.
@@ -202,17 +207,19 @@
 }
 
 // Queues the rejection of a request that was not read completely, after which the connection closes.
-void CallerSession::rejectUnread(unsigned status, const std::string& reason)
+void CallerSession::rejectUnread(unsigned status, const std::string& reason, const std::string& id)
 {
     CallerResponse response;
     response.message.result(status);
+    if (!id.empty())
+        response.message.set(m_context.names.requestId, id);
     if (status == 503)
         response.message.set(http::bhttp::field::retry_after, "1");
     response.message.body() = reason + "\n";
     response.message.content_length(response.message.body().size());
     response.closesConnection = true;
     m_context.log.write(observe::Level::Info, "request_rejected_unread",
-        { { "status", std::to_string(status) }, { "reason", reason } });
+        { { "request", id }, { "status", std::to_string(status) }, { "reason", reason } });
     auto exchange = std::make_shared<Exchange>();
     m_exchanges.push_back(exchange);
     queueResponse(exchange, std::move(response));
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -52,7 +52,7 @@
     void startRequest(
         CallerRequest request, base::SteadyTime arrivedAt, std::unique_ptr<limits::MemoryReservation> memory);
     void handleReadError(http::error_code ec);
-    void rejectUnread(unsigned status, const std::string& reason);
+    void rejectUnread(unsigned status, const std::string& reason, const std::string& id = {});
     void queueResponse(const std::shared_ptr<Exchange>& exchange, CallerResponse response);
     http::Awaitable<void> writeResponses();
     http::Awaitable<bool> writeResponse(Exchange& exchange, bool closesConnection);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -126,12 +126,9 @@
     }
 }
 
-// Checks the request, finds its route and chooses the service. Returns a rejection if one of these steps fails.
+// Finds the request's route and chooses the service. Returns a rejection if one of these steps fails.
 RequestFlow::MaybeResponse RequestFlow::findRoute()
 {
-    const auto framing = http::checkRequestHead(m_request.base());
-    if (framing)
-        return reject(framing->status, framing->reason);
     if (m_id.empty())
         return reject(400, "the request has no id");
     m_snapshot = m_context.snapshots.read();
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -75,6 +75,34 @@
     BOOST_TEST(placement.slotRequests.empty());
 }
 
+// Guards against a request inside the body of another one that is run: the coding of that body is not supported, and a
+// pending response delays the rejection.
+BOOST_FIXTURE_TEST_CASE(requestInsideABodyIsNotRun, FlowFixture)
+{
+    std::atomic<bool> released { false };
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        peer.readMessage();
+        while (!released)
+            std::this_thread::sleep_for(1ms);
+        peer.send(response("1", "found"));
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::Idempotent, 2000ms);
+    placement.grants = { "t", "t", "t" };
+    const auto caller = start();
+    caller->send(request("1") + "POST /r/x HTTP/1.1\r\nHost: h\r\n" + names.requestId
+        + ": 2\r\nTransfer-Encoding: gzip\r\n\r\n" + request("3", "POST", "c"));
+    std::this_thread::sleep_for(100ms);
+    released = true;
+    BOOST_TEST(caller->readMessage().ends_with("found"));
+    const auto rejection = caller->readMessage();
+    BOOST_TEST(rejection.starts_with("HTTP/1.1 400"));
+    BOOST_TEST(headerOf(rejection, names.requestId) == "2");
+    BOOST_TEST(caller->waitForPeerClose());
+    stopTraffic();
+    BOOST_TEST(placement.slotRequests.size() == 1u);
+}
+
 // Guards against 404 for a request that newer routes may allow, and against a crash when there are no routes.
 BOOST_FIXTURE_TEST_CASE(requestsWithoutRoutesGetRetryAfter, FlowFixture)
 {
