--- a/include/buckthorncroft/membership/registry_outage.h
+++ b/include/buckthorncroft/membership/registry_outage.h
@@ -14,8 +14,8 @@
 /// instance failed or was left without a response.
 class RegistryOutageDetector {
 public:
-    /// Records that this instance began to read the registry. Must be followed by `recordFailure` or `recordResponse`
-    /// before the next read.
+    /// Records that this instance began to read the registry. Must be followed by `recordReadFailure` or
+    /// `recordReadSuccess` before the next read.
     void recordReadStart(base::SteadyTime now) { m_pendingReadSince = now; }
 
     /// Records that the read failed.
