--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -90,11 +90,16 @@
     }
 
     void listTarget(const std::string& id, const Target& target, const std::string& state = "ready")
+    {
+        listTarget(id, target.port(), state);
+    }
+
+    void listTarget(const std::string& id, std::uint16_t port, const std::string& state = "ready")
     {
         store.put("servers", id,
             platform::encodeBase64(fmt::format(
                 R"({{"service":"s1","address":"127.0.0.1:{}","zone":"z1","slots":3,"state":"{}","seq":1,"born":7}})",
-                target.port(), state)));
+                port, state)));
     }
 
     /// Starts an instance. With `registryPort`, it reaches the store through that port.
