--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -35,6 +35,24 @@
     return [](RawConnection& peer, unsigned) { peer.readMessage(); };
 }
 
+using Callers = std::vector<std::unique_ptr<RawConnection>>;
+
+/// Lets `count` new callers send a request each. Returns the number of bytes by which this process has grown after
+/// `time`.
+std::size_t measureGrowth(FlowFixture& fixture, unsigned count, std::chrono::milliseconds time, Callers& callers)
+{
+    callers.push_back(fixture.start());
+    const auto before = FlowFixture::residentBytes();
+    for (unsigned n = 1; n < count; ++n)
+        callers.push_back(fixture.connectCaller());
+    for (auto& it : callers)
+        it->send(fixture.request("1", "POST", "a"));
+    std::this_thread::sleep_for(time);
+    const auto growth = FlowFixture::residentBytes() - before;
+    BOOST_TEST_MESSAGE("memory grew by " << (growth >> 20) << " MB");
+    return growth;
+}
+
 } // namespace
 
 // Guards against a crash that a simulated day found: new routes were published during a request, and its retry took
@@ -448,17 +466,8 @@
     ports = { { "t", target.port() } };
     publish(1, RequestKind::NonIdempotent, 2000ms);
     placement.grants.assign(callerCount, "t");
-    std::vector<std::unique_ptr<RawConnection>> callers;
-    callers.push_back(start());
-    const auto before = residentBytes();
-    for (unsigned n = 1; n < callerCount; ++n)
-        callers.push_back(connectCaller());
-    for (auto& it : callers)
-        it->send(request("1", "POST", "a"));
-    std::this_thread::sleep_for(1500ms);
-    const auto growth = residentBytes() - before;
-    BOOST_TEST_MESSAGE("memory grew by " << (growth >> 20) << " MB");
-    BOOST_TEST(growth < maxGrowth);
+    Callers callers;
+    BOOST_TEST(measureGrowth(*this, callerCount, 1500ms, callers) < maxGrowth);
     BOOST_TEST(target.connections() == callerCount);
     callers.clear();
 }
@@ -500,17 +509,8 @@
     ports = { { "t", target.port() } };
     publish(1, RequestKind::NonIdempotent, 1500ms);
     placement.grants.assign(callerCount, "t");
-    std::vector<std::unique_ptr<RawConnection>> callers;
-    callers.push_back(start());
-    const auto before = residentBytes();
-    for (unsigned n = 1; n < callerCount; ++n)
-        callers.push_back(connectCaller());
-    for (auto& it : callers)
-        it->send(request("1", "POST", "a"));
-    std::this_thread::sleep_for(1000ms);
-    const auto growth = residentBytes() - before;
-    BOOST_TEST_MESSAGE("memory grew by " << (growth >> 20) << " MB");
-    BOOST_TEST(growth < maxGrowth);
+    Callers callers;
+    BOOST_TEST(measureGrowth(*this, callerCount, 1000ms, callers) < maxGrowth);
     for (auto& it : callers)
         BOOST_TEST(!it->readMessage().starts_with("HTTP/1.1 2"));
 }
