End the traffic server before the members that its threads use

Cause: ServerFixture destroyed the list of finished requests, its mutex and its condition variable before the server, because they are declared after it. A server thread that was still reporting the end of a request then wrote into the destroyed list. The fault is in the fixture; the daemon is not affected. AddressSanitizer showed it once in 72 runs: heap-use-after-free in FinishedRequest, called from ServerFixture::start's handler, by RequestExecutor::reportOutcome.

Change: the fixture's destructor ends the server first.

--- a/tests/io/traffic_fixture.h
+++ b/tests/io/traffic_fixture.h
@@ -245,6 +245,10 @@
         settings.callers.host = "127.0.0.1";
         timeouts.stall = std::chrono::milliseconds(1500);
     }
+    ServerFixture(const ServerFixture&) = delete;
+    ServerFixture& operator=(const ServerFixture&) = delete;
+    // The server's threads use the members declared after it until they have ended.
+    ~ServerFixture() { server.reset(); }
 
     void addTarget(std::uint16_t port, unsigned slots = 3)
     {
