--- a/tests/gateway/flow_fixture.h
+++ b/tests/gateway/flow_fixture.h
@@ -70,6 +70,19 @@
     void destroyHandlers() { shutdown(); }
 };
 
+/// Responds to each request with the result of `make`.
+inline RawTarget::Script answering(std::function<std::string(const std::string& request)> make)
+{
+    return [make = std::move(make)](RawConnection& peer, unsigned) {
+        while (true) {
+            const auto request = peer.readMessage();
+            if (request.empty())
+                return;
+            peer.send(make(request));
+        }
+    };
+}
+
 /// Runs a `CallerSession` over a real connection. Targets are raw connections that the test controls.
 class FlowFixture {
 public:
