Repeat the announcement of a leaving target, and tell new instances

Change: the readers of the registry repeat recent announcements with their deltas for 5 s, and the first message of each run of an instance is answered with the announcements in force, if there are any.

--- a/include/buckthorncroft/membership/peer_ranking.h
+++ b/include/buckthorncroft/membership/peer_ranking.h
@@ -19,8 +19,8 @@
     explicit PeerRanking(std::string self, double capacity = 1);
 
     /// Records a message from the instance and stops skipping it. An instance that was marked as leaving is ranked
-    /// again only with a new incarnation.
-    void recordContact(const std::string& instance, std::uint64_t incarnation, base::SteadyTime now);
+    /// again only with a new incarnation. Returns whether this is the first message of this incarnation.
+    bool recordContact(const std::string& instance, std::uint64_t incarnation, base::SteadyTime now);
 
     /// Sets the processor time of an instance in cores, and adds the instance if it is unknown. Does not prove that the
     /// instance runs.
--- a/include/buckthorncroft/membership/target_directory.h
+++ b/include/buckthorncroft/membership/target_directory.h
@@ -74,13 +74,13 @@
     /// that affects routing.
     bool markLeaving(const LeavingTarget& target, base::SteadyTime now);
 
-    /// Returns the targets that `markLeaving` recorded in the last `leavingTtl`.
-    std::vector<LeavingTarget> leavingTargets(base::SteadyTime now);
-
     /// How long the announcement of a leaving target is kept. Longer than a target serves after it, and than its entry
     /// can remain in the registry.
     static constexpr std::chrono::minutes leavingTtl { 10 };
 
+    /// Returns the targets that `markLeaving` recorded in the last `maxAge`, which is at most `leavingTtl`.
+    std::vector<LeavingTarget> leavingTargets(base::SteadyTime now, std::chrono::milliseconds maxAge = leavingTtl);
+
     /// Returns the current set. The same object is returned until something changes.
     std::shared_ptr<const TargetSet> targets() const { return m_targets; }
 
--- a/src/gateway/peer_group.cpp
+++ b/src/gateway/peer_group.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-    // Bounds the size of a presence message.
+    // Bounds the size of a message.
     constexpr int maxLeavingTargets = 256;
 
     // Larger values are not plausible and would make an instance rank first.
@@ -12,6 +12,17 @@
 
 } // namespace
 
+void addLeavingTargets(wire::proto::PeerDatagram& message, const std::vector<membership::LeavingTarget>& targets)
+{
+    for (const auto& it : targets) {
+        if (message.leaving_size() >= maxLeavingTargets)
+            return;
+        auto& entry = *message.add_leaving();
+        entry.set_id(it.id);
+        entry.set_born(it.startedAtUnixMs);
+    }
+}
+
 PeerGroup::PeerGroup(
     const GatewaySettings& settings, const base::Clock& clock, PeerChannel& channel, std::uint64_t incarnation)
     : m_settings(settings)
@@ -39,15 +50,8 @@
     it.set_capacity(static_cast<float>(m_settings.capacity));
     it.set_route_version(m_routeVersion);
     it.set_reply_wanted(replyWanted);
-    if (!m_leavingTargets)
-        return result;
-    for (const auto& target : m_leavingTargets()) {
-        if (result.leaving_size() >= maxLeavingTargets)
-            break;
-        auto& entry = *result.add_leaving();
-        entry.set_id(target.id);
-        entry.set_born(target.startedAtUnixMs);
-    }
+    if (m_leavingTargets)
+        addLeavingTargets(result, m_leavingTargets());
     return result;
 }
 
@@ -119,7 +123,8 @@
     if (sender == m_settings.instance || !membership::isValidName(sender))
         return false;
     m_addresses[sender] = from;
-    m_ranking.recordContact(sender, datagram.incarnation(), m_clock.now());
+    const bool isFirstContact = m_ranking.recordContact(sender, datagram.incarnation(), m_clock.now());
+    bool replyWanted = isFirstContact && m_leavingTargets && !m_leavingTargets().empty();
     if (datagram.has_presence()) {
         const auto& it = datagram.presence();
         m_zones[sender] = it.zone();
@@ -128,11 +133,12 @@
             m_ranking.setCapacity(sender, it.capacity());
         if (it.leaving())
             m_ranking.markLeaving(sender);
-        if (it.reply_wanted())
-            m_channel.send(makePresence(m_leaving, false), from);
+        replyWanted = replyWanted || it.reply_wanted();
         if (m_onPeerRouteVersion && it.route_version() > m_routeVersion)
             m_onPeerRouteVersion(it.route_version());
     }
+    if (replyWanted)
+        m_channel.send(makePresence(m_leaving, false), from);
     return true;
 }
 
--- a/src/gateway/peer_group.h
+++ b/src/gateway/peer_group.h
@@ -14,6 +14,9 @@
 
 namespace buckthorncroft::gateway {
 
+/// Adds announcements of leaving targets to a datagram, up to a limit that bounds its size.
+void addLeavingTargets(wire::proto::PeerDatagram& message, const std::vector<membership::LeavingTarget>& targets);
+
 /// The known instances of the fleet: their addresses and the ranking that assigns roles to them. Runs on the control
 /// thread.
 class PeerGroup {
@@ -45,8 +48,9 @@
     /// Sets the function to call when an instance announces a version of the routes newer than the local one.
     void onPeerRouteVersion(std::function<void(std::uint64_t)> handler) { m_onPeerRouteVersion = std::move(handler); }
 
-    /// Records the sender of a datagram and its presence. Returns false if the datagram must be ignored because this
-    /// instance sent it itself or its sender's name is not valid.
+    /// Records the sender of a datagram and its presence. Responds to the first message of an instance with the leaving
+    /// targets, if there are any, because they were announced before it started. Returns false if the datagram must be
+    /// ignored because this instance sent it itself or its sender's name is not valid.
     bool handle(const wire::proto::PeerDatagram& datagram, const udp::endpoint& from);
 
     /// Returns a datagram that contains only the sender fields of this instance.
--- a/src/gateway/registry_relay.cpp
+++ b/src/gateway/registry_relay.cpp
@@ -84,7 +84,7 @@
     return isDeltaOverdue ? ReaderRole::Standalone : ReaderRole::None;
 }
 
-void RegistryRelay::sendDelta(const TargetDelta& delta)
+void RegistryRelay::sendDelta(const TargetDelta& delta, const std::vector<membership::LeavingTarget>& leaving)
 {
     auto message = m_peers.makeMessage();
     auto& part = *message.mutable_news();
@@ -108,6 +108,7 @@
         entry.set_sequence(record.sequence);
         entry.set_born(record.startedAtUnixMs);
     }
+    addLeavingTargets(message, leaving);
     if (message.ByteSizeLong() > maxDeltaBytes) {
         // The receivers detect that they miss changes, and read the registry.
         part.clear_entries();
@@ -153,9 +154,7 @@
 void RegistryRelay::sendLeaving(const membership::LeavingTarget& target)
 {
     auto message = m_peers.makeMessage();
-    auto& it = *message.add_leaving();
-    it.set_id(target.id);
-    it.set_born(target.startedAtUnixMs);
+    addLeavingTargets(message, { target });
     m_peers.sendToAll(message);
 }
 
--- a/src/gateway/registry_relay.h
+++ b/src/gateway/registry_relay.h
@@ -40,8 +40,12 @@
     /// Returns the current role of this instance. Until the other instances are known it is `None` for a short time.
     ReaderRole role();
 
-    /// Sends changes that this instance read from the registry to all other instances.
-    void sendDelta(const TargetDelta& delta);
+    /// Sends changes that this instance read from the registry to all other instances. `leaving`: recent announcements
+    /// of leaving targets, which are repeated with the changes because a datagram may be lost.
+    void sendDelta(const TargetDelta& delta, const std::vector<membership::LeavingTarget>& leaving);
+
+    /// How long the announcement of a leaving target is repeated.
+    static constexpr std::chrono::seconds leavingRepeatTime { 5 };
 
     /// Notifies the other instances that this one cannot reach the registry, so that another one becomes reader.
     /// Repeated calls are rate-limited.
--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -276,7 +276,7 @@
     if (changed)
         m_handlers.onTargets(m_directory.targets());
     if (m_relay.role() == ReaderRole::Reader)
-        m_relay.sendDelta(delta);
+        m_relay.sendDelta(delta, m_directory.leavingTargets(m_clock.now(), RegistryRelay::leavingRepeatTime));
 }
 
 // Logs and counts each invalid entry once, until its reason changes.
--- a/src/membership/peer_ranking.cpp
+++ b/src/membership/peer_ranking.cpp
@@ -24,18 +24,20 @@
     m_peers[m_self].capacity = capacity;
 }
 
-void PeerRanking::recordContact(const std::string& instance, std::uint64_t incarnation, base::SteadyTime now)
+bool PeerRanking::recordContact(const std::string& instance, std::uint64_t incarnation, base::SteadyTime now)
 {
     const bool known = m_peers.contains(instance);
     auto& peer = m_peers[instance];
+    const bool isFirstContact = peer.incarnation != incarnation;
     if (!known || peer.leaving)
         m_rankings.clear();
-    if (peer.leaving && peer.incarnation == incarnation)
-        return; // A stopping instance responds until its process ends.
+    if (peer.leaving && !isFirstContact)
+        return false; // A stopping instance responds until its process ends.
     peer.leaving = false;
     peer.incarnation = incarnation;
     peer.skipUntil = now;
     peer.backoff = milliseconds(0);
+    return isFirstContact;
 }
 
 void PeerRanking::setCapacity(const std::string& instance, double capacity)
--- a/src/membership/target_directory.cpp
+++ b/src/membership/target_directory.cpp
@@ -88,12 +88,14 @@
     return true;
 }
 
-std::vector<LeavingTarget> TargetDirectory::leavingTargets(base::SteadyTime now)
+std::vector<LeavingTarget> TargetDirectory::leavingTargets(base::SteadyTime now, std::chrono::milliseconds maxAge)
 {
     forgetOldAnnouncements(now);
     std::vector<LeavingTarget> result;
-    for (const auto& [id, it] : m_leaving)
-        result.push_back({ id, it.startedAtUnixMs });
+    for (const auto& [id, it] : m_leaving) {
+        if (now - it.announcedAt <= maxAge)
+            result.push_back({ id, it.startedAtUnixMs });
+    }
     return result;
 }
 
--- a/tests/gateway/registry_watcher_test.cpp
+++ b/tests/gateway/registry_watcher_test.cpp
@@ -153,17 +153,16 @@
         return result;
     }
 
-    /// Opens the socket of the peer, which records the deltas that it receives. Returns its port.
+    /// Opens the socket of the peer, which records the datagrams that it receives. Returns its port.
     std::uint16_t openPeer()
     {
         gateway::udp::socket probe(io, { http::asio::ip::address_v4::loopback(), 0 });
         const auto port = probe.local_endpoint().port();
         probe.close();
         BOOST_REQUIRE(peerChannel.open({ "127.0.0.1", port }));
-        peerChannel.startReceiving([this](const wire::proto::PeerDatagram& it, const auto&) {
-            if (it.has_news())
-                relayed.push_back(it.news());
-        });
+        peerChannel.startReceiving(
+            [this](const wire::proto::PeerDatagram& it, const auto&) { received.push_back(it); });
+        peerAddress = { http::asio::ip::address_v4::loopback(), port };
         return port;
     }
 
@@ -193,13 +192,24 @@
     /// Whether the delta that covers `version` contains the removal of `id`.
     bool wasRemovalRelayed(const std::string& id, gateway::RegistryVersion version) const
     {
-        return std::any_of(relayed.begin(), relayed.end(), [&](const auto& news) {
+        return std::any_of(received.begin(), received.end(), [&](const auto& datagram) {
+            const auto& news = datagram.news();
             return news.from() < version && version <= news.to()
                 && std::any_of(news.entries().begin(), news.entries().end(),
                     [&](const auto& entry) { return entry.id() == id && entry.gone(); });
         });
     }
 
+    /// Number of received datagrams, of deltas or of presence, that announce that the target leaves.
+    template <typename Predicate> std::size_t announcements(const std::string& id, Predicate isCounted) const
+    {
+        return static_cast<std::size_t>(std::count_if(received.begin(), received.end(), [&](const auto& datagram) {
+            return isCounted(datagram)
+                && std::any_of(datagram.leaving().begin(), datagram.leaving().end(),
+                    [&](const auto& target) { return target.id() == id; });
+        }));
+    }
+
     base::SystemClock clock;
     observe::Logger log;
     observe::Metrics metrics;
@@ -211,7 +221,8 @@
     FakeRegistry registry;
     gateway::RegistryWatcher watcher;
     std::shared_ptr<const membership::TargetSet> targets;
-    std::vector<std::decay_t<decltype(std::declval<wire::proto::PeerDatagram>().news())>> relayed;
+    gateway::udp::endpoint peerAddress;
+    std::vector<wire::proto::PeerDatagram> received; ///< By the peer.
 };
 
 constexpr auto outage = 2s;
@@ -276,3 +287,35 @@
         runFor(5ms);
     BOOST_TEST(!isListed("b"));
 }
+
+// Guards against requests to a leaving target from an instance that the single datagram of the announcement did not
+// reach.
+BOOST_FIXTURE_TEST_CASE(leavingTargetIsAnnouncedRepeatedly, Fixture)
+{
+    const auto isDelta = [](const wire::proto::PeerDatagram& it) { return it.has_news(); };
+    watcher.markLeaving({ "b", 0 });
+    runFor(readTime);
+    BOOST_TEST(announcements("b", isDelta) >= 1u);
+    runFor(gateway::RegistryRelay::leavingRepeatTime);
+    received.clear();
+    runFor(readTime);
+    BOOST_TEST(announcements("b", isDelta) == 0u);
+}
+
+// Guards against requests to a leaving target from an instance that started after the announcement.
+BOOST_FIXTURE_TEST_CASE(newInstanceReceivesTheLeavingTargets, Fixture)
+{
+    const auto isPresence = [](const wire::proto::PeerDatagram& it) { return it.has_presence(); };
+    peers.setLeavingTargetsSource([this] { return watcher.leavingTargets(); });
+    watcher.markLeaving({ "b", 0 });
+    wire::proto::PeerDatagram datagram;
+    datagram.set_sender("new");
+    for (const unsigned incarnation : { 1, 2 }) {
+        datagram.set_incarnation(incarnation);
+        for (unsigned n = 0; n < 2; ++n) {
+            peers.handle(datagram, peerAddress);
+            runFor(100ms);
+            BOOST_TEST(announcements("b", isPresence) == incarnation);
+        }
+    }
+}
