Limit chunk extensions and trailers of bodies

A chunked body whose trailer has a field of 100,000 bytes ended the entry daemon, whether a caller or a target sent it ("field value too large", SIGABRT).

Cause: Beast does not limit the parts of a body that it parses as a whole, and throws an exception for a field beyond 64 KB. The exception left the handler of the read and ended the traffic thread.

Change: bodies of callers, on both interfaces, and of targets are read by readParsed, which ends with header_limit when the parser needs more than 16 KB at once.

Measured: longTrailerIsRefused, longTrailerIsAFailedAttempt and the new case of brokenResponsesAreUnknownAndTheirConnectionsAreNotReused end with SIGABRT with the code before, and pass now.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include "../http/framing.h"
+#include "../http/read_parsed.h"
 
 #include <cerrno>
 #include <sys/socket.h>
@@ -174,8 +175,7 @@
         if (!reserveBody(parser, memory))
             co_return false;
         m_connection->closeAt(m_context.clock.now() + bodyReadTimeout);
-        co_await http::bhttp::async_read_some(
-            m_connection->socket(), m_connection->buffer(), parser, http::captureError(ec));
+        ec = co_await http::readParsed(*m_connection, parser);
     }
     m_connection->clearDeadline();
     if (ec)
--- a/src/http/caller_exchange.cpp
+++ b/src/http/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "caller_exchange.h"
 
 #include "framing.h"
+#include "read_parsed.h"
 
 #include <boost/beast/http/span_body.hpp>
 
@@ -57,7 +58,7 @@
     body.data = data;
     body.size = size;
     while (!m_parser.is_done() && body.size == size) {
-        co_await bhttp::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, captureError(ec));
+        ec = co_await readParsed(*m_connection, m_parser);
         if (ec == bhttp::error::need_buffer)
             ec = {};
         if (ec)
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -1,5 +1,7 @@
 #include "target_call.h"
 
+#include "read_parsed.h"
+
 #include <algorithm>
 #include <boost/beast/http/span_body.hpp>
 
@@ -181,8 +183,7 @@
     body.data = data;
     body.size = size;
     while (!m_parser->is_done() && body.size == size) {
-        error_code ec;
-        co_await bhttp::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, captureError(ec));
+        const auto ec = co_await readParsed(*m_connection, *m_parser);
         if (ec && ec != bhttp::error::need_buffer) {
             m_failed = true;
             break;
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -190,6 +190,24 @@
     BOOST_TEST(headerOf(seen, names.requestId) == "1");
 }
 
+// Guards against a request that waits until its deadline, because the parser throws an exception for a field of this
+// length.
+BOOST_FIXTURE_TEST_CASE(longTrailerIsAFailedAttempt, FlowFixture)
+{
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        peer.readMessage();
+        peer.send("HTTP/1.1 200 OK\r\n" + names.requestId + ": 1\r\n" + names.signature
+            + ": proof\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n");
+        peer.waitForPeerClose();
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t" };
+    const auto caller = start();
+    caller->send(request("1", "POST", "book"));
+    BOOST_TEST(statusOf(caller->readMessage()) == "HTTP/1.1 502");
+}
+
 // Guards against a response that reaches another caller: the target sends a second copy late, when the connection is in
 // use for the next request.
 BOOST_FIXTURE_TEST_CASE(lateCopyOnAReusedConnectionIsNotTheNextResponse, FlowFixture)
--- a/tests/io/caller_framing_test.cpp
+++ b/tests/io/caller_framing_test.cpp
@@ -191,6 +191,16 @@
     BOOST_TEST(response.substr(response.find("\r\n\r\n") + 4) == "end");
 }
 
+// Guards against a trailer that ends the process, because the parser throws an exception for a field of this length.
+BOOST_FIXTURE_TEST_CASE(longTrailerIsRefused, HealthyTargetFixture)
+{
+    const auto connection = caller();
+    connection->send("POST /book HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+        + std::string(100'000, 'x') + "\r\n\r\n");
+    BOOST_TEST(startsWith(connection->readMessage(), "HTTP/1.1 400 "));
+    BOOST_TEST(startsWith(call("GET", "/"), "HTTP/1.1 200 "));
+}
+
 // Guards against a caller that waits for 100 Continue until its own timeout, and against 100 Continue for a body that
 // is then rejected.
 BOOST_FIXTURE_TEST_CASE(expectContinueIsAnswered, HealthyTargetFixture)
--- a/tests/io/target_answers_test.cpp
+++ b/tests/io/target_answers_test.cpp
@@ -46,6 +46,8 @@
         { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n",
+            Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\n\r\nuntil the end of the connection", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef", Verdict::Truncated },
