--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -143,9 +143,11 @@
     parser.header_limit(bounds.maxHeaderBytes);
     parser.body_limit(bounds.maxBodyBytes);
     m_connection->closeAt(begin + bounds.headerTimeout);
-    http::error_code ec;
-    co_await http::bhttp::async_read_header(
-        m_connection->socket(), m_connection->buffer(), parser, http::captureError(ec));
+    auto ec = co_await http::bufferRequestHead(*m_connection, bounds.maxHeaderBytes);
+    if (!ec) {
+        co_await http::bhttp::async_read_header(
+            m_connection->socket(), m_connection->buffer(), parser, http::captureError(ec));
+    }
     if (ec) {
         handleReadError(ec);
         co_return false;
--- a/src/http/caller_exchange.cpp
+++ b/src/http/caller_exchange.cpp
@@ -24,8 +24,9 @@
 
 Awaitable<error_code> CallerExchange::readHead()
 {
-    error_code ec;
-    co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, captureError(ec));
+    auto ec = co_await bufferRequestHead(*m_connection, maxRequestHeaderBytes);
+    if (!ec)
+        co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, captureError(ec));
     co_return ec;
 }
 
--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -1,6 +1,7 @@
 #include "framing.h"
 
 #include <boost/beast/http/rfc7230.hpp>
+#include <string_view>
 #include <vector>
 
 namespace buckthorncroft::http {
@@ -14,6 +15,29 @@
     return RequestRejection { 400, "the request is malformed: " + ec.message() };
 }
 
+Awaitable<error_code> bufferRequestHead(Connection& connection, std::size_t limit)
+{
+    constexpr std::size_t pieceBytes = 4096;
+    auto& buffer = connection.buffer();
+    while (true) {
+        const std::string_view text(static_cast<const char*>(buffer.data().data()), buffer.size());
+        const auto end = text.find("\r\n\r\n");
+        if (end != std::string_view::npos || text.size() >= limit) {
+            const auto head = text.substr(0, end);
+            const bool isFolded
+                = head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+            co_return isFolded ? make_error_code(bhttp::error::bad_obs_fold) : error_code {};
+        }
+        if (buffer.size() + pieceBytes > buffer.max_size())
+            co_return make_error_code(bhttp::error::buffer_overflow);
+        error_code ec;
+        const auto n = co_await connection.socket().async_read_some(buffer.prepare(pieceBytes), captureError(ec));
+        if (ec)
+            co_return ec;
+        buffer.commit(n);
+    }
+}
+
 std::optional<RequestRejection> checkRequestHead(const bhttp::request_header<>& head)
 {
     // Two equal lengths are rejected as well: an intermediary that merges them may have received two different ones.
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "asio.h"
+#include "connection.h"
 
 #include <optional>
 #include <string>
@@ -16,6 +16,11 @@
 /// Returns the rejection for an error in reading a request, or nothing if the connection failed or ended.
 std::optional<RequestRejection> rejectionForReadError(error_code ec);
 
+/// Reads until the buffer of the connection contains a complete header block or `limit` bytes. Must precede the reading
+/// of a request by Beast's parser, which accepts folded lines and joins them, while other readers of the same request
+/// may take them for something else. Errors: `bad_obs_fold` if a line is folded, and errors of the connection.
+Awaitable<error_code> bufferRequestHead(Connection& connection, std::size_t limit);
+
 /// Returns the rejection of a request that Beast's parser accepts but this proxy does not: repeated lengths, unknown
 /// transfer codings, a missing or repeated `Host`, and request targets that are not paths. Returns nothing if the head
 /// is valid.
--- a/tests/gateway/flow_fixture.h
+++ b/tests/gateway/flow_fixture.h
@@ -176,6 +176,9 @@
         return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
     }
 
+    /// Waits until all sessions have ended and nothing is pending, so that the test can inspect the state.
+    void waitUntilDone() { thread.join(); }
+
     /// Stops the traffic thread, so that the test can inspect its state.
     void stopTraffic()
     {
@@ -186,7 +189,7 @@
     std::string request(const std::string& id, const std::string& method = "GET", const std::string& body = "") const
     {
         auto result = method + " /r/x HTTP/1.1\r\nHost: h\r\n" + names.requestId + ": " + id + "\r\n" + names.deadline
-            + ": 1500\r\n";
+            + ": " + std::to_string(callerDeadline.count()) + "\r\n";
         if (!body.empty())
             result += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         return result + "\r\n" + body;
@@ -208,6 +211,7 @@
     gateway::GatewaySnapshotHolder snapshots;
     FakePlacement placement;
     gateway::TrafficContext context;
+    std::chrono::milliseconds callerDeadline { 1500 }; ///< Sent with each request.
     std::map<std::string, std::uint16_t> ports; ///< Port of each target, by id.
     std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
     std::thread thread;
--- a/tests/io/traffic_fixture.h
+++ b/tests/io/traffic_fixture.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
 #include <sys/socket.h>
@@ -37,6 +38,9 @@
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         (void)::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        // Sends each piece of a test at once, in a segment of its own.
+        const int enabled = 1;
+        (void)::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
         return std::make_unique<RawConnection>(fd);
     }
 
