End relayed bodies at the deadline of the request

Cause: the deadline of the connection to the target ended with the head of a long response. After it the target only had to deliver each piece within 1 s.

Change: the connection keeps the request's deadline until the body is complete, and the caller must take each piece by then. A body that is not complete breaks off with a reset, also for a caller without chunked coding, for which a normal close would look like the end.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "../http/framing.h"
 #include "../http/read_parsed.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
 
@@ -300,6 +301,8 @@
 http::Awaitable<bool> CallerSession::writeResponse(Exchange& exchange, bool closesConnection)
 {
     auto& message = exchange.response->message;
+    if (exchange.response->stream && m_context.clock.now() >= exchange.response->stream->deadline())
+        replaceOverdueStream(*exchange.response);
     message.version(11);
     message.keep_alive(!closesConnection);
     if (exchange.response->stream && !exchange.isHead)
@@ -318,6 +321,21 @@
     co_return !ec;
 }
 
+// Replaces a long response whose deadline passed before it could be sent, because earlier responses were pending.
+void CallerSession::replaceOverdueStream(CallerResponse& response)
+{
+    const std::string id(response.message[m_context.names.requestId]);
+    response.stream->cancel();
+    response.stream.reset();
+    response.message = {};
+    response.message.result(504);
+    response.message.set(m_context.names.requestId, id);
+    response.message.body() = "the deadline has passed\n";
+    response.message.content_length(response.message.body().size());
+    m_context.log.write(
+        observe::Level::Warning, "response_replaced", { { "request", id }, { "reason", "the deadline has passed" } });
+}
+
 // Relays a long body in pieces. If it breaks off, the connection is reset, so that the caller cannot take the part for
 // the whole.
 http::Awaitable<bool> CallerSession::writeStream(Exchange& exchange, bool closesConnection)
@@ -334,37 +352,42 @@
     message.body().more = true;
     StreamSerializer serializer(message);
     std::string piece(streamPieceBytes, '\0');
-    bool sent = co_await writePiece(message, serializer, buffered.data(), buffered.size());
+    m_connection->setResetOnClose(true);
+    bool sent = co_await writePiece(message, serializer, buffered, stream.deadline());
     while (sent && !stream.isComplete()) {
         const auto n = co_await stream.read(piece.data(), piece.size());
         if (n == 0)
             break;
-        sent = co_await writePiece(message, serializer, piece.data(), n);
+        sent = co_await writePiece(message, serializer, std::string_view(piece).substr(0, n), stream.deadline());
     }
     const bool whole = stream.isComplete();
     if (sent && whole)
-        sent = co_await writePiece(message, serializer, nullptr, 0);
-    if (sent && whole)
+        sent = co_await writePiece(message, serializer, {}, stream.deadline());
+    if (sent && whole) {
+        m_connection->setResetOnClose(false);
         co_return length || exchange.supportsChunked;
+    }
+    const bool overdue = m_context.clock.now() >= stream.deadline();
+    const auto* cause = overdue ? "deadline" : whole || !sent ? "caller" : "target";
     m_context.log.write(observe::Level::Warning, "response_broken_off",
-        { { "by", whole || !sent ? "caller" : "target" },
-            { "request", std::string(message[m_context.names.requestId]) } });
+        { { "by", cause }, { "request", std::string(message[m_context.names.requestId]) } });
     stream.cancel();
     m_connection->reset();
     co_return false;
 }
 
-// Writes a piece of a body; an empty piece ends the body.
+// Writes a piece of a body; an empty piece ends the body. Closes the connection if the caller has not taken the piece
+// by the deadline.
 http::Awaitable<bool> CallerSession::writePiece(
-    StreamMessage& message, StreamSerializer& serializer, const char* data, std::size_t size)
+    StreamMessage& message, StreamSerializer& serializer, std::string_view piece, base::SteadyTime deadline)
 {
     auto& body = message.body();
     // The serializer only reads from the buffer, although its type is not const.
-    body.data = const_cast<char*>(data);
-    body.size = size;
-    body.more = size != 0;
+    body.data = const_cast<char*>(piece.data());
+    body.size = piece.size();
+    body.more = !piece.empty();
     http::error_code ec;
-    m_connection->closeAt(m_context.clock.now() + writeStallTimeout);
+    m_connection->closeAt(std::min(deadline, m_context.clock.now() + writeStallTimeout));
     co_await http::bhttp::async_write(m_connection->socket(), serializer, http::captureError(ec));
     m_connection->clearDeadline();
     co_return !ec || ec == http::bhttp::error::need_buffer;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -58,7 +58,8 @@
     http::Awaitable<bool> writeResponse(Exchange& exchange, bool closesConnection);
     http::Awaitable<bool> writeStream(Exchange& exchange, bool closesConnection);
     http::Awaitable<bool> writePiece(
-        StreamMessage& message, StreamSerializer& serializer, const char* data, std::size_t size);
+        StreamMessage& message, StreamSerializer& serializer, std::string_view piece, base::SteadyTime deadline);
+    void replaceOverdueStream(CallerResponse& response);
     void startWriting();
     http::Awaitable<void> closeConnection();
     routing::CallerLimits limits() const;
--- a/src/gateway/streamed_body.h
+++ b/src/gateway/streamed_body.h
@@ -22,6 +22,9 @@
     /// Length of the whole body, with its buffered part, if the target declared it.
     std::optional<std::uint64_t> length() const { return m_attempt->bodyLength(); }
 
+    /// When the body breaks off if it is not complete.
+    base::SteadyTime deadline() const { return m_attempt->deadline(); }
+
     /// Reads the next piece. Returns 0 at the end or if the body broke off, which `isComplete` distinguishes.
     http::Awaitable<std::size_t> read(char* data, std::size_t size);
 
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -21,10 +21,6 @@
     constexpr milliseconds defaultIdleTimeout { 4000 };
     constexpr milliseconds maxIdleTimeout { 600'000 };
 
-    // Maximum time in which the target must fill a piece of a long body after the deadline. A slow caller may be the
-    // reason that the body lasts longer, a slow target may not.
-    constexpr milliseconds latePieceTimeout { 1000 };
-
     constexpr unsigned misdirectedRequestStatus = 421;
 
     http::CallRules makeCallRules(const HeaderNames& names, bool isReused)
@@ -164,28 +160,22 @@
 
 http::Awaitable<std::size_t> TargetAttempt::readBody(char* data, std::size_t size)
 {
-    if (!m_connection)
+    if (!m_connection || m_connection->timedOut())
         co_return 0;
     const auto connection = m_connection;
-    const auto now = m_context.clock.now();
-    const bool isLate = now >= m_request->deadline;
-    connection->closeAt(std::max(m_request->deadline, now + latePieceTimeout));
-    auto total = co_await m_call->readSome(data, size);
-    while (isLate && total > 0 && total < size && !m_call->isComplete()) {
-        const auto n = co_await m_call->readSome(data + total, size - total);
-        if (n == 0)
-            break;
-        total += n;
-    }
-    // The time that the caller takes for the piece is not the target's.
-    connection->clearDeadline();
-    co_return total;
+    const auto n = co_await m_call->readSome(data, size);
+    m_isBodyOverdue = connection->timedOut();
+    co_return n;
 }
 
 void TargetAttempt::endBody()
 {
     m_endedAt = m_context.clock.now();
-    if (!m_cancelled && isBodyComplete()) {
+    if (m_connection && m_connection->timedOut()) {
+        // While the caller takes the previous piece, the delay is not the target's.
+        m_verdict = m_isBodyOverdue ? Verdict::TimedOut : Verdict::Cancelled;
+        m_reason = "the deadline passed before the end of the answer";
+    } else if (!m_cancelled && isBodyComplete()) {
         returnConnectionToPool();
     } else {
         m_verdict = m_cancelled ? Verdict::Cancelled : Verdict::Truncated;
@@ -251,9 +241,7 @@
         return;
     }
     m_hasMoreBody = !m_call->isComplete();
-    if (m_hasMoreBody)
-        m_connection->clearDeadline();
-    else
+    if (!m_hasMoreBody)
         returnConnectionToPool();
     conclude(AttemptState::Answered, status >= 500 ? Verdict::Error : Verdict::Good,
         status >= 500 ? fmt::format("the target answered {}", status) : "");
--- a/src/gateway/target_attempt.h
+++ b/src/gateway/target_attempt.h
@@ -75,8 +75,9 @@
     std::optional<std::uint64_t> bodyLength() const { return m_call->contentLength(); }
 
     /// Reads the next piece of the body after the buffered part. Returns 0 at the end or if the body broke off, which
-    /// `isBodyComplete` distinguishes. Once the deadline has passed, the target must fill each piece within 1 s.
+    /// `isBodyComplete` distinguishes. The connection closes at the deadline of the request.
     http::Awaitable<std::size_t> readBody(char* data, std::size_t size);
+    base::SteadyTime deadline() const { return m_request->deadline; }
     bool isBodyComplete() const { return m_call && m_call->isComplete(); }
 
     /// Ends an attempt whose body was read by `readBody`: returns the connection to the pool if the body is complete,
@@ -109,6 +110,7 @@
     std::string m_reason;
     base::SteadyTime m_startedAt;
     base::SteadyTime m_endedAt;
+    bool m_isBodyOverdue = false; ///< The deadline passed while a piece of the body was being read.
     bool m_hasMoreBody = false;
     bool m_sent = false;
     bool m_reused = false;
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -52,11 +52,16 @@
 
 void Connection::reset()
 {
-    error_code ec;
-    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    setResetOnClose(true);
     close();
 }
 
+void Connection::setResetOnClose(bool enabled)
+{
+    error_code ec;
+    m_socket.set_option(asio::socket_base::linger(enabled, 0), ec);
+}
+
 bool Connection::isOpenAndIdle()
 {
     if (!m_socket.is_open() || m_buffer.size() != 0)
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -31,6 +31,9 @@
     /// one.
     void reset();
 
+    /// Sets whether `close`, the deadline and the end of the process close the connection with a TCP reset.
+    void setResetOnClose(bool enabled);
+
     /// Whether the connection is open and has no unread data. Unread data on an idle connection is unsolicited.
     bool isOpenAndIdle();
 
