Test that responses without an id prove nothing on a reused connection

Change, tests only: rejections with and without Retry-After, 421, 429, a signed 200 and 500 and an interim response, each without an id on a reused connection that the target then closes. The caller gets 502, the request is not sent again and nothing stale reaches a caller. A response that arrives before its request was sent, with an id or without, ends its connection.

--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -259,6 +259,61 @@
     BOOST_TEST(placement.slotRequests.size() == 2 * rejections.size());
 }
 
+// Guards against a request that is reported as not run, repeated or answered by a response that may belong to an
+// earlier request: without an id, on a reused connection, which the target then closes.
+BOOST_FIXTURE_TEST_CASE(responseWithoutIdOnAReusedConnectionProvesNothing, FlowFixture)
+{
+    const auto message = [](const std::string& status, const std::string& fields) {
+        return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 5\r\n\r\nstale";
+    };
+    const std::vector<std::string> responses { message("503 Busy", names.notRun + ": 1\r\n"),
+        message("503 Busy", names.notRun + ": 1\r\nRetry-After: 1\r\n"), message("503 Busy", "Retry-After: 1\r\n"),
+        message("421 Misdirected Request", ""), message("429 Too Many Requests", "Retry-After: 1\r\n"),
+        message("200 OK", names.signature + ": proof\r\n"), message("500 Failed", names.signature + ": proof\r\n"),
+        "HTTP/1.1 103 Early Hints\r\n" + names.notRun + ": 1\r\n\r\n" };
+    RawTarget target([&](RawConnection& peer, unsigned n) {
+        peer.send(response(headerOf(peer.readMessage(), names.requestId), "first"));
+        peer.readMessage();
+        peer.send(responses.at(n));
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants.assign(2 * responses.size(), "t");
+    const auto caller = start();
+    for (std::size_t n = 0; n < responses.size(); ++n) {
+        caller->send(request("a" + std::to_string(n), "POST", "a"));
+        BOOST_TEST(caller->readMessage().ends_with("first"));
+        caller->send(request("b" + std::to_string(n), "POST", "b"));
+        const auto received = caller->readMessage();
+        BOOST_TEST(statusOf(received) == "HTTP/1.1 502", responses[n] << " -> " << received);
+    }
+    stopTraffic();
+    BOOST_TEST(target.connections() == responses.size());
+    BOOST_TEST(placement.slotRequests.size() == 2 * responses.size());
+}
+
+// Guards against a response that arrived before its request was sent, with or without an id.
+BOOST_FIXTURE_TEST_CASE(unsolicitedResponseEndsItsConnection, FlowFixture)
+{
+    RawTarget target([&](RawConnection& peer, unsigned n) {
+        const auto id = headerOf(peer.readMessage(), names.requestId);
+        peer.send(response(id, "booked"));
+        if (n < 2)
+            peer.send(n == 0 ? response("2", "stale") : "HTTP/1.1 503 Busy\r\n" + names.notRun + ": 1\r\n\r\n");
+    });
+    ports = { { "t", target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t", "t" };
+    const auto caller = start();
+    for (const auto* id : { "1", "2", "3" }) {
+        caller->send(request(id, "POST", "a"));
+        BOOST_TEST(caller->readMessage().ends_with("booked"));
+        std::this_thread::sleep_for(50ms);
+    }
+    stopTraffic();
+    BOOST_TEST(target.connections() == 3u);
+}
+
 // Guards against an announcement of a leaving target that is not passed on, whatever the status of the response.
 BOOST_FIXTURE_TEST_CASE(leavingTargetsAreReported, FlowFixture)
 {
