Let the simulation find wrong responses, and reject invalid scenario values

Two checks of the simulation could not fail: mismatchedResponses was never counted, and the scenario parser replaced values that it could not read by defaults, or read a part of them.

Change: a response to another request that reaches a caller is counted; the option idCheck switches the instance's check of ids off, and the scenario then fails as it should. Times, rates, the values of faults, the names in cuts and the targets of expectations are checked, and a number must be finite.

--- a/tests/core/scenarios_test.cpp
+++ b/tests/core/scenarios_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE Scenarios
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -36,6 +37,41 @@
     BOOST_TEST(parsed.findings[8].key == "time");
 }
 
+// Guards against a value that is replaced by a default or read in part, so that the scenario plays something else.
+BOOST_AUTO_TEST_CASE(invalidValuesInAScenarioFileAreReported)
+{
+    const std::vector<std::string> lines { "time 5s", "time -5", "time inf", "time 5 5", "load bookdesk 85%%",
+        "load bookdesk 85%x", "load bookdesk -5", "load bookdesk nan", "load bookdesk %",
+        "fault slow=many bookdesk-1 at 1", "fault slow= bookdesk-1 at 1", "fault slow=0 bookdesk-1 at 1",
+        "fault wrong=1.5 bookdesk-1 at 1", "fault hanging=2 bookdesk-1 at 1", "fault slow=5 bookdesk-1 at inf",
+        "cut i0 bookdesk-1 at 1", "cut i41 bookdesk-1 at 1", "cut i1 bookdesk-99 at 1", "cut i1.5 * at 1",
+        "expect detection_p99 bookdesk-99 <= 2", "expect goodput >= nan" };
+    for (const auto& it : lines) {
+        const auto parsed = simulation::parseScenario("deployment sprungfloor bookdesk\ntime 5\n" + it + "\n", "a.scn");
+        BOOST_TEST(parsed.findings.size() == 1u, it);
+    }
+}
+
+// Guards against a check that cannot fail: without the check of ids, callers get responses to other requests.
+BOOST_AUTO_TEST_CASE(responsesToOtherRequestsAreFound)
+{
+    const auto parsed = simulation::parseScenario("deployment sprungfloor bookdesk\ntime 8\nload bookdesk 150\n"
+                                                  "fault mismatched=0.5 bookdesk-4 at 1 for 5\n",
+        "a.scn");
+    BOOST_REQUIRE(parsed.findings.empty());
+    for (const bool idCheck : { true, false }) {
+        simulation::Options options;
+        options.seed = seed;
+        options.idCheck = idCheck;
+        const auto metrics = simulation::runScenario(parsed.scenario, options);
+        BOOST_TEST((metrics.mismatchedResponses == 0) == idCheck);
+        const auto findings = simulation::checkScenario(parsed.scenario, metrics);
+        const bool isFound = std::any_of(
+            findings.begin(), findings.end(), [](const auto& finding) { return finding.key == "wrong_answers"; });
+        BOOST_TEST(isFound != idCheck);
+    }
+}
+
 // Guards against changes of the parser or of a deployment that invalidate a scenario file.
 BOOST_AUTO_TEST_CASE(everyScenarioFileIsValid)
 {
--- a/tests/support/instance.cpp
+++ b/tests/support/instance.cpp
@@ -353,10 +353,11 @@
         request->outcome.recordNotRunRefusal(attempt->id);
         return endAttempt(request, attempt, Verdict::Shed);
     }
-    if (response.kind == ResponseKind::Mismatched)
+    attempt->mismatched = response.kind == ResponseKind::Mismatched;
+    if (attempt->mismatched && m_simulation.options.idCheck)
         return endAttempt(request, attempt, Verdict::Mismatched);
     request->outcome.recordResponse(attempt->id);
-    endAttempt(request, attempt, response.kind == ResponseKind::Good ? Verdict::Good : Verdict::Error);
+    endAttempt(request, attempt, response.kind == ResponseKind::Error ? Verdict::Error : Verdict::Good);
 }
 
 void Instance::releaseGrant(std::size_t service, std::uint64_t grant, Instance* point, Verdict verdict, Micros latency)
@@ -395,9 +396,10 @@
         state.queue.recordServiceTime(request->kind, latency);
     if (verdict == Verdict::Good)
         recordLatency(state, attempt->target, latency);
-    if (verdict == Verdict::Good || (isComplete && request->kind != config::RequestKind::Idempotent))
+    if (verdict == Verdict::Good || (isComplete && request->kind != config::RequestKind::Idempotent)) {
+        m_simulation.metrics.mismatchedResponses += attempt->mismatched && !request->finished;
         finish(request, verdict == Verdict::Good, true);
-    else if (verdict != Verdict::Cancelled)
+    } else if (verdict != Verdict::Cancelled)
         retryOrFinish(request);
     if (state.health.hasUrgentEvidence() && now - state.lastReportAt > minUrgentReportInterval)
         sendReport(request->service);
--- a/tests/support/instance.h
+++ b/tests/support/instance.h
@@ -57,6 +57,7 @@
         base::SteadyTime sentAt;
         bool done = false;
         bool countedAsPending = false; ///< Counted as slow by the health package before it ended.
+        bool mismatched = false; ///< The response belongs to another request.
         std::uint64_t grant = 0; ///< 0 without a grant.
         Instance* point = nullptr; ///< Placement point that issued the grant.
         std::shared_ptr<Job> job;
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 
 namespace buckthorncroft::simulation {
@@ -38,11 +39,43 @@
     {
         double value = 0;
         const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (error != std::errc() || end != text.data() + text.size())
+        if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
             return std::nullopt;
         return value;
     }
 
+    /// A rate in requests per second, or a percentage of the capacity.
+    struct Rate {
+        double value = 0;
+        bool isPercentage = false;
+    };
+
+    std::optional<Rate> parseRate(const std::string& text)
+    {
+        const bool isPercentage = text.ends_with('%');
+        const auto value = parseNumber(text.substr(0, text.size() - isPercentage));
+        if (!value || *value < 0)
+            return std::nullopt;
+        return Rate { *value, isPercentage };
+    }
+
+    /// Returns the fault of a text like `slow=5`, or nothing if the kind is unknown or the value does not suit it.
+    std::optional<Fault> parseFault(const std::string& text)
+    {
+        const auto separator = text.find('=');
+        const auto kind = faultKinds.find(text.substr(0, separator));
+        if (kind == faultKinds.end())
+            return std::nullopt;
+        if (separator == std::string::npos)
+            return Fault { kind->second, 1 };
+        const auto value = parseNumber(text.substr(separator + 1));
+        const bool isFraction = kind->second == FaultKind::Errors || kind->second == FaultKind::Mismatched;
+        const bool hasValue = isFraction || kind->second == FaultKind::Slow || kind->second == FaultKind::Flapping;
+        if (!hasValue || !value || *value <= 0 || (isFraction && *value > 1))
+            return std::nullopt;
+        return Fault { kind->second, *value };
+    }
+
     bool contains(const std::vector<std::string>& list, const std::string& text)
     {
         return std::find(list.begin(), list.end(), text) != list.end();
@@ -84,7 +117,7 @@
             if (verb == "deployment")
                 parseDeployment();
             else if (verb == "time")
-                m_result.scenario.seconds = m_words.size() == 1 ? parseNumber(m_words[0]).value_or(0) : 0;
+                parseTime();
             else if (verb == "expect")
                 parseExpectation();
             else if (verb == "load" || verb == "fault" || verb == "cut" || verb == "restart")
@@ -93,6 +126,14 @@
                 reportFinding(verb, "unknown verb");
         }
 
+        void parseTime()
+        {
+            const auto value = m_words.size() == 1 ? parseNumber(m_words[0]) : std::nullopt;
+            if (!value || *value <= 0)
+                return reportFinding("time", "needs a positive number of seconds");
+            m_result.scenario.seconds = *value;
+        }
+
         void parseDeployment()
         {
             if (m_words.empty() || (m_words[0] != "sprungfloor" && m_words[0] != "cymoedd"))
@@ -127,6 +168,20 @@
             m_result.scenario.actions.push_back(action);
         }
 
+        bool isInstance(const std::string& name) const
+        {
+            const auto number = name.starts_with('i') ? parseNumber(name.substr(1)) : std::nullopt;
+            return number && *number >= 1 && *number <= m_deployment.instances && std::floor(*number) == *number;
+        }
+
+        bool isTarget(const std::string& name) const
+        {
+            return std::any_of(m_deployment.services.begin(), m_deployment.services.end(), [&](const auto& service) {
+                return std::any_of(service.targets.begin(), service.targets.end(),
+                    [&](const auto& target) { return target.id == name; });
+            });
+        }
+
         std::string validate(const Action& action) const
         {
             const auto& arguments = action.arguments;
@@ -138,13 +193,18 @@
                     targets.push_back(target.id);
             }
             if (action.verb == "load") {
-                const auto rate = arguments.size() == 2 ? arguments[1].substr(0, arguments[1].find('%')) : "";
-                return arguments.size() == 2 && contains(services, arguments[0]) && parseNumber(rate)
+                return arguments.size() == 2 && contains(services, arguments[0]) && parseRate(arguments[1])
                     ? ""
                     : "needs a service and a rate";
             }
-            if (action.verb == "cut")
-                return arguments.size() == 2 ? "" : "needs two names, zones or *";
+            if (action.verb == "cut") {
+                const auto isKnown = [&](const std::string& it) {
+                    return it == "*" || isInstance(it) || contains(targets, it) || contains(m_deployment.zones, it);
+                };
+                return arguments.size() == 2 && isKnown(arguments[0]) && isKnown(arguments[1])
+                    ? ""
+                    : "needs two names, zones or *";
+            }
             if (action.verb == "restart") {
                 const bool known = arguments.size() == 1
                     ? arguments[0] == "instances"
@@ -155,8 +215,8 @@
                 return "";
             if (arguments.size() == 2 && arguments[0] == "zone-lost")
                 return contains(m_deployment.zones, arguments[1]) ? "" : "unknown zone";
-            if (arguments.size() != 2 || !faultKinds.contains(arguments[0].substr(0, arguments[0].find('='))))
-                return "unknown fault";
+            if (arguments.size() != 2 || !parseFault(arguments[0]))
+                return "unknown fault, or a value that does not suit it";
             return contains(targets, arguments[1]) ? "" : "unknown target";
         }
 
@@ -170,6 +230,8 @@
             const auto value = m_words.size() == 3 ? parseNumber(m_words[2]) : std::nullopt;
             if (!value || !metricsByName.contains(it.metric) || (m_words[1] != "<=" && m_words[1] != ">="))
                 return reportFinding("expect", "needs a known metric, <= or >=, and a number");
+            if (!it.target.empty() && !isTarget(it.target))
+                return reportFinding("expect", "unknown target");
             it.relation = m_words[1];
             it.value = *value;
             m_result.scenario.expectations.push_back(it);
@@ -189,11 +251,7 @@
         } else if (arguments[0] == "zone-lost") {
             simulation.setZoneLost(arguments[1], isStart);
         } else {
-            const auto separator = arguments[0].find('=');
-            const auto value
-                = separator == std::string::npos ? 1 : parseNumber(arguments[0].substr(separator + 1)).value_or(1);
-            const Fault fault { faultKinds.at(arguments[0].substr(0, separator)), value };
-            simulation.setFault(arguments[1], isStart ? fault : Fault {});
+            simulation.setFault(arguments[1], isStart ? parseFault(arguments[0]).value_or(Fault {}) : Fault {});
         }
     }
 
@@ -206,10 +264,9 @@
             return isStart ? simulation.links.cut(arguments[0], arguments[1])
                            : simulation.links.restore(arguments[0], arguments[1]);
         if (action.verb == "load") {
-            const auto percent = arguments[1].find('%');
-            const auto value = parseNumber(arguments[1].substr(0, percent)).value_or(0);
-            return simulation.setRate(
-                arguments[0], percent == std::string::npos ? value : value / 100 * simulation.capacity(arguments[0]));
+            const auto rate = parseRate(arguments[1]).value_or(Rate {});
+            const auto unit = rate.isPercentage ? simulation.capacity(arguments[0]) / 100 : 1;
+            return simulation.setRate(arguments[0], rate.value * unit);
         }
         const double now = simulation.loop.seconds();
         if (arguments[0] == "instances") {
--- a/tests/support/simulation.h
+++ b/tests/support/simulation.h
@@ -24,6 +24,7 @@
     bool retryBudget = true; ///< Without it, only the attempt limit of each request bounds its retries.
     bool stages = true; ///< Without them, a target is either healthy or ejected.
     bool retries = true; ///< Whether failed attempts are retried and slow ones are hedged.
+    bool idCheck = true; ///< Whether a response to another request is a failed attempt.
 };
 
 /// The services and instances of one installation. The request rates are set by the run.
