Add a soak of gateway processes with random faults

There was no test that plays random series of faults against real processes and checks every request.

Change: gateway_soak_test runs four gateways, eight targets in the test process and sixteen callers that keep using their connections. It draws SIGTERM, SIGKILL and SIGSTOP, a silent store and faults of targets (slow, broken-off, refusing, wrong id, a late refusal on a reused connection, a body without end) from SOAK_SEED. A model of what targets ran and callers saw finds requests that ran twice, that were refused although they ran, that got another request's response or none. Stops must end with 0 within the grace period, and all instances must serve again within 15 s. Not covered yet: datagrams, one-way cuts, leaving targets, changes of the configuration, memory.

--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -106,10 +106,9 @@
     void start(std::uint16_t registryPort = 0)
     {
         const auto name = fmt::format("g{}", m_processes.size());
-        const auto file = fmt::format("{}/{}.toml", m_directory, name);
         callerPorts.push_back(m_ports.draw());
         readyPorts.push_back(m_ports.draw());
-        std::ofstream(file) << fmt::format(
+        std::ofstream(settingsFile(m_processes.size())) << fmt::format(
             R"(instance = "{}"
 zone = "z1"
 callers = "127.0.0.1:{}"
@@ -127,10 +126,12 @@
 slack = 62
 )",
             name, callerPorts.back(), readyPorts.back(), m_ports.draw(), registryPort ? registryPort : store.port());
-        m_processes.push_back(
-            std::make_unique<ChildProcess>(std::vector<std::string> { BINARY_DIR "/buckthorncroft-gateway", file }));
+        m_processes.push_back(startProcess(m_processes.size()));
     }
 
+    /// Starts an instance again, whose process has ended, with its former settings.
+    void restart(std::size_t n) { m_processes.at(n) = startProcess(n); }
+
     /// Starts `count` instances and waits until all are ready.
     void startReady(unsigned count)
     {
@@ -181,6 +182,14 @@
     std::vector<std::uint16_t> readyPorts; ///< By number of the instance.
 
 private:
+    std::string settingsFile(std::size_t n) const { return fmt::format("{}/g{}.toml", m_directory, n); }
+
+    std::unique_ptr<ChildProcess> startProcess(std::size_t n) const
+    {
+        return std::make_unique<ChildProcess>(
+            std::vector<std::string> { BINARY_DIR "/buckthorncroft-gateway", settingsFile(n) });
+    }
+
     std::string m_directory;
     PortPool m_ports;
     std::vector<std::unique_ptr<ChildProcess>> m_processes;
--- /dev/null
+++ b/tests/soak/gateway_soak_test.cpp
@@ -0,0 +1,318 @@
+#define BOOST_TEST_MODULE GatewaySoak
+#include <boost/test/unit_test.hpp>
+
+#include "../gateway/silencing_proxy.h"
+#include "faulty_target.h"
+
+#include <cstdlib>
+#include <future>
+#include <iostream>
+#include <random>
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::soak;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+unsigned long environmentNumber(const char* name, unsigned long fallback)
+{
+    const char* text = std::getenv(name);
+    return text ? std::stoul(text) : fallback;
+}
+
+/// A connection on which a caller sends requests until the instance closes it.
+class CallerConnection {
+public:
+    explicit CallerConnection(std::uint16_t port)
+    {
+        boost::system::error_code ec;
+        m_stream.connect({ boost::asio::ip::address_v4::loopback(), port }, ec);
+        m_isOpen = !ec;
+    }
+
+    bool isOpen() const { return m_isOpen; }
+
+    /// Sends the request of `record`, and records its end.
+    void send(CallerRecord& record)
+    {
+        namespace http = boost::beast::http;
+        http::request<http::string_body> request(
+            record.mayRepeat ? http::verb::get : http::verb::post, record.mayRepeat ? "/safe/x" : "/once/x", 11);
+        request.set(http::field::host, "h");
+        request.set(test::names::requestIdHeader, record.id);
+        request.set(test::names::deadlineHeader, "3000");
+        if (!record.mayRepeat)
+            request.body() = "data";
+        request.prepare_payload();
+        record.sentAt = Clock::now();
+        boost::system::error_code ec;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(1ULL << 30);
+        http::write(m_stream, request, ec);
+        if (!ec)
+            http::read(m_stream, m_buffer, parser, ec);
+        record.endedAt = Clock::now();
+        record.brokenOff = ec && parser.is_header_done();
+        record.status = ec ? 0 : parser.get().result_int();
+        record.body = ec ? "" : parser.get().body();
+        m_isOpen = !ec && parser.get().keep_alive();
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::beast::tcp_stream m_stream { m_context };
+    boost::beast::flat_buffer m_buffer;
+    bool m_isOpen = false;
+};
+
+/// Gateways, targets and callers of one run. Faults are drawn from the seed.
+class Soak {
+public:
+    explicit Soak(unsigned long seed)
+        : m_random(seed)
+    {
+        for (unsigned n = 0; n < targetCount; ++n)
+            m_targets.push_back(std::make_unique<FaultyTarget>(m_model));
+        m_fleet = std::make_unique<test::Fleet>();
+        m_storeProxy = std::make_unique<test::SilencingProxy>(m_fleet->store.port());
+        m_fleet->store.put("op", "config",
+            platform::encodeBase64(
+                R"({"version":"00000002","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
+                "header_timeout":"3s","idle_timeout":"15s"},"listeners":[{"host":"h","rules":[
+                {"name":"safe","type":"safe","target_latency":"1s","priority":1,"match":{"prefix":"/safe/"},
+                "action":{"service":"s1","timeout":"3s","max_attempts":2}},
+                {"name":"once","type":"unsafe","target_latency":"1s","priority":1,"match":{"prefix":"/once/"},
+                "action":{"service":"s1","timeout":"3s","max_attempts":2}}]}],"clusters":[{"name":"s1"}]})"));
+        for (unsigned n = 0; n < targetCount; ++n)
+            m_fleet->listTarget(fmt::format("i-{}", n), m_targets[n]->port());
+        for (unsigned n = 0; n < instanceCount; ++n) {
+            m_model.recordStart(n);
+            m_fleet->start(m_storeProxy->port());
+        }
+        for (unsigned n = 0; n < instanceCount; ++n)
+            BOOST_REQUIRE(m_fleet->waitForStatus(n, 200, test::startTimeout));
+    }
+    Soak(const Soak&) = delete;
+    Soak& operator=(const Soak&) = delete;
+    ~Soak() { endCallers(); }
+
+    /// Injects faults for `time` while callers send requests, then checks all promises.
+    void run(std::chrono::seconds time)
+    {
+        for (unsigned n = 0; n < instanceCount * callersPerInstance; ++n)
+            m_callers.emplace_back([this, n] { sendRequests(n); });
+        const auto end = Clock::now() + time;
+        while (Clock::now() < end) {
+            std::this_thread::sleep_for(milliseconds(draw(100, 700)));
+            injectFault();
+        }
+        m_pending.clear(); // Waits for the end of all faults.
+        checkRecovery();
+        endCallers();
+        for (unsigned n = 0; n < instanceCount; ++n)
+            checkStop(n, false);
+        // Requests that a target runs late would break a promise given before.
+        std::this_thread::sleep_for(1s);
+        for (const auto& it : m_model.brokenPromises())
+            BOOST_ERROR(it);
+        BOOST_TEST_MESSAGE("served " << m_model.served());
+        BOOST_TEST(m_model.served() > 100U);
+    }
+
+private:
+    static constexpr unsigned instanceCount = 4;
+    static constexpr unsigned targetCount = 8;
+    static constexpr unsigned callersPerInstance = 4;
+    static constexpr unsigned maxInstancesDown = 2;
+    static constexpr auto recoveryBound = 15s;
+
+    unsigned long draw(unsigned long from, unsigned long to)
+    {
+        return std::uniform_int_distribution<unsigned long>(from, to)(m_random);
+    }
+
+    void sendRequests(unsigned caller)
+    {
+        const std::size_t instance = caller % instanceCount;
+        for (unsigned n = 0; !m_ended; std::this_thread::sleep_for(20ms)) {
+            CallerConnection connection(m_fleet->callerPorts[instance]);
+            while (connection.isOpen() && !m_ended) {
+                CallerRecord it { fmt::format("{}-{}", caller, n), n % 2 == 0, instance, {}, {}, 0, false, "" };
+                ++n;
+                connection.send(it);
+                m_model.recordCaller(std::move(it));
+                std::this_thread::sleep_for(10ms);
+            }
+        }
+    }
+
+    void endCallers()
+    {
+        m_ended = true;
+        for (auto& it : m_callers)
+            it.join();
+        m_callers.clear();
+    }
+
+    void log(const std::string& text) const
+    {
+        const auto ms = std::chrono::duration_cast<milliseconds>(Clock::now() - m_startedAt).count();
+        std::cout << fmt::format("{:6} ms  {}\n", ms, text);
+    }
+
+    void later(std::function<void()> action) { m_pending.push_back(std::async(std::launch::async, std::move(action))); }
+
+    void injectFault()
+    {
+        const auto duration = milliseconds(draw(300, 1800));
+        const auto instance = draw(0, instanceCount - 1);
+        const auto target = draw(0, targetCount - 1);
+        const auto fault = allTargetFaults.at(draw(1, allTargetFaults.size() - 1));
+        switch (draw(0, 7)) {
+        case 0:
+            return stopInstance(instance, duration, false);
+        case 1:
+            return stopInstance(instance, duration, true);
+        case 2:
+            return pauseInstance(instance, duration);
+        case 3:
+            log(fmt::format("store silent for {} ms", duration.count()));
+            m_storeProxy->setSilent(true);
+            std::this_thread::sleep_for(duration);
+            m_storeProxy->setSilent(false);
+            return;
+        default:
+            log(fmt::format("target {} fault {} for {} ms", target, static_cast<int>(fault), duration.count()));
+            m_targets[target]->setFault(fault);
+            return later([this, target, duration] {
+                std::this_thread::sleep_for(duration);
+                m_targets[target]->setFault(TargetFault::None);
+            });
+        }
+    }
+
+    bool takeInstance(std::size_t n)
+    {
+        return m_down.load() < maxInstancesDown && !m_busy[n].exchange(true) && ++m_down;
+    }
+
+    void releaseInstance(std::size_t n)
+    {
+        --m_down;
+        m_busy[n] = false;
+    }
+
+    void stopInstance(std::size_t n, milliseconds duration, bool kill)
+    {
+        if (!takeInstance(n))
+            return;
+        log(fmt::format("instance {} {}", n, kill ? "SIGKILL" : "SIGTERM"));
+        later([this, n, duration, kill] {
+            checkStop(n, kill);
+            std::this_thread::sleep_for(duration / 4);
+            m_model.recordStart(n);
+            m_fleet->restart(n);
+            releaseInstance(n);
+        });
+    }
+
+    void pauseInstance(std::size_t n, milliseconds duration)
+    {
+        if (!takeInstance(n))
+            return;
+        log(fmt::format("instance {} SIGSTOP for {} ms", n, duration.count()));
+        later([this, n, duration] {
+            m_model.changeRun(n, [](ProcessRun& it) { it.paused = true; });
+            m_fleet->process(n).signal(SIGSTOP);
+            std::this_thread::sleep_for(duration);
+            m_fleet->process(n).signal(SIGCONT);
+            releaseInstance(n);
+        });
+    }
+
+    // Ends a process and checks how it ended.
+    void checkStop(std::size_t n, bool kill)
+    {
+        const auto stoppedAt = Clock::now();
+        m_model.changeRun(n, [&](ProcessRun& it) { (kill ? it.killedAt : it.stoppedAt) = stoppedAt; });
+        m_fleet->process(n).signal(kill ? SIGKILL : SIGTERM);
+        const auto status = m_fleet->process(n).wait();
+        const std::lock_guard lock(m_checkMutex);
+        BOOST_TEST(status == (kill ? -1 : 0), "instance " << n << " ended with " << status);
+        BOOST_TEST((Clock::now() - stoppedAt < test::grace), "instance " << n << " exceeded the grace period");
+    }
+
+    // Each instance must serve requests again when all faults have ended.
+    void checkRecovery()
+    {
+        const auto end = Clock::now() + recoveryBound;
+        for (unsigned n = 0; n < instanceCount; ++n) {
+            BOOST_TEST(m_fleet->waitForStatus(n, 200, recoveryBound));
+            unsigned inARow = 0;
+            for (unsigned i = 0; inARow < 10 && Clock::now() < end; ++i) {
+                CallerConnection connection(m_fleet->callerPorts[n]);
+                CallerRecord it { fmt::format("recovery-{}-{}", n, i), true, n, {}, {}, 0, false, "" };
+                if (connection.isOpen())
+                    connection.send(it);
+                inARow = it.status == 200 ? inARow + 1 : 0;
+            }
+            BOOST_TEST(inARow == 10U, "instance " << n << " does not serve after the faults");
+        }
+    }
+
+    std::mt19937_64 m_random;
+    Clock::time_point m_startedAt = Clock::now();
+    RequestModel m_model { instanceCount };
+    std::vector<std::unique_ptr<FaultyTarget>> m_targets;
+    std::unique_ptr<test::Fleet> m_fleet;
+    std::unique_ptr<test::SilencingProxy> m_storeProxy;
+    std::array<std::atomic<bool>, instanceCount> m_busy {}; ///< A fault of the instance is in effect.
+    std::atomic<unsigned> m_down { 0 };
+    std::atomic<bool> m_ended { false };
+    std::mutex m_checkMutex;
+    std::vector<std::thread> m_callers;
+    std::vector<std::future<void>> m_pending; ///< Faults that end by themselves.
+};
+
+} // namespace
+
+// Guards against a check of the soak that cannot fail.
+BOOST_AUTO_TEST_CASE(modelFindsEachBrokenPromise)
+{
+    const auto count = [](bool mayRepeat, unsigned status, const std::string& body, unsigned executions,
+                           std::optional<milliseconds> stoppedBefore = {}) {
+        RequestModel model(1);
+        model.recordStart(0);
+        const auto sentAt = Clock::now();
+        if (stoppedBefore)
+            model.changeRun(0, [&](ProcessRun& it) {
+                it.startedAt = sentAt - 10s;
+                it.stoppedAt = sentAt - *stoppedBefore;
+            });
+        for (unsigned n = 0; n < executions; ++n)
+            model.recordExecution("id");
+        model.recordCaller({ "id", mayRepeat, 0, sentAt, sentAt + 100ms, status, false, body });
+        return model.brokenPromises().size();
+    };
+    BOOST_TEST(count(false, 200, "id", 1) == 0U);
+    BOOST_TEST(count(true, 200, "id", 2) == 0U);
+    BOOST_TEST(count(false, 503, "", 0) == 0U);
+    BOOST_TEST(count(false, 502, "", 1) == 0U);
+    BOOST_TEST(count(false, 0, "", 1, 1s) == 0U);
+    BOOST_TEST(count(false, 200, "id", 2) == 1U);
+    BOOST_TEST(count(true, 503, "", 1) == 1U);
+    BOOST_TEST(count(false, 200, "other", 1) == 1U);
+    BOOST_TEST(count(false, 200, "id", 0) == 1U);
+    BOOST_TEST(count(false, 0, "", 1) == 1U);
+    BOOST_TEST(count(false, 0, "", 1, 4s) == 1U);
+}
+
+// Plays random faults against real processes. SOAK_SEED chooses the faults and SOAK_SECONDS the duration.
+BOOST_AUTO_TEST_CASE(promisesHoldUnderRandomFaults)
+{
+    const auto seed = environmentNumber("SOAK_SEED", 1);
+    std::cout << "SOAK_SEED=" << seed << '\n';
+    Soak(seed).run(std::chrono::seconds(environmentNumber("SOAK_SECONDS", 20)));
+}
