Log what the end of a stop breaks off

Cause: the logs can't tell the hypotheses of the lost lookups apart. They do not say how long an instance had been stopping when it gave up a request, nor which responses were still unsent when the process ended.

Change: request_broken_off has the time since the stop signal, the age of the request and of its attempts, and whether it waits for a slot. connection_cut names the responses that the end of the process cuts, and whether a request was still arriving. The schedule of a stop has the time of the signal.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -138,6 +138,7 @@
         m_closing = true;
     if (!arrived || m_closing)
         co_return false;
+    m_reading = true;
     const auto begin = m_context.clock.now();
     const auto bounds = limits();
     http::bhttp::request_parser<http::bhttp::string_body> parser;
@@ -163,6 +164,7 @@
     // The response that closes the connection may have been chosen while the body arrived.
     if (!whole || m_closing)
         co_return false;
+    m_reading = false;
     startRequest(parser.release(), begin, std::move(memory));
     co_return true;
 }
@@ -421,6 +423,20 @@
         m_connection->socket().cancel(ec);
 }
 
+void CallerSession::logUnfinished() const
+{
+    if (m_exchanges.empty() && !m_reading)
+        return;
+    std::string unsent;
+    for (const auto& it : m_exchanges) {
+        if (it->response)
+            unsent += (unsent.empty() ? "" : ",") + std::string(it->response->message[m_context.names.requestId]);
+    }
+    m_context.log.write(observe::Level::Warning, "connection_cut",
+        { { "requests", std::to_string(m_exchanges.size()) }, { "unsent_responses", unsent },
+            { "reading", m_reading ? "yes" : "no" } });
+}
+
 void CallerSession::endRequests()
 {
     for (const auto& it : m_exchanges) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -24,6 +24,9 @@
     /// Ends all requests in flight with their final response.
     void endRequests();
 
+    /// Logs what the end of the process will cut: responses that are not sent completely, and a request that is read.
+    void logUnfinished() const;
+
     /// Whether the session waits for a request and none is in flight.
     bool isIdle() const { return m_idle && m_interruptible; }
 
@@ -74,6 +77,7 @@
     bool m_lastResponseSent = false; ///< The response after which the connection closes was sent.
     bool m_interruptible = false; ///< The reader waits for data and may be cancelled.
     bool m_callerDisconnected = false; ///< The connection failed or the caller closed it.
+    bool m_reading = false; ///< A request has arrived in part.
     bool m_idle = false; ///< The reader waits and no request is in flight.
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -156,7 +156,7 @@
             const auto startedAt = m_clock.now();
             const auto deadline = startedAt + m_settings.gracePeriod - shutdownMargin;
             m_log.write(observe::Level::Info, "stopping", { { "active", std::to_string(m_context.activeRequests) } });
-            m_traffic.announceStop({ startedAt + lastRequestDelay, deadline });
+            m_traffic.announceStop({ startedAt, startedAt + lastRequestDelay, deadline });
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
             m_traffic.closeKeptCallerConnections();
@@ -171,6 +171,7 @@
             m_traffic.endActiveRequests();
             // Leaves time for the last responses to be written.
             co_await sleepUntil(m_clock.now() + drainPollInterval);
+            m_traffic.logUnfinishedSessions();
             m_io.stop();
         }
 
--- a/src/gateway/gateway_traffic.cpp
+++ b/src/gateway/gateway_traffic.cpp
@@ -120,6 +120,14 @@
     }
 }
 
+void GatewayTraffic::logUnfinishedSessions() const
+{
+    for (const auto& it : m_sessions) {
+        if (const auto session = it.lock())
+            session->logUnfinished();
+    }
+}
+
 void GatewayTraffic::stopAccepting()
 {
     http::error_code ec;
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -36,6 +36,9 @@
     /// Ends all requests in flight with their final response.
     void endActiveRequests();
 
+    /// Logs each connection that the end of the process will cut.
+    void logUnfinishedSessions() const;
+
     /// Stops accepting connections. Those that already wait in the listen queue are still accepted and served.
     void stopAccepting();
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -211,8 +211,10 @@
     }
     if (auto response = handleEndedAttempts())
         return response;
-    if (m_ending)
+    if (m_ending) {
+        logBreakOff();
         return fail("the instance stops");
+    }
     if (m_context.clock.now() >= m_deadline)
         return fail("the deadline has passed");
     reportOverdueAttempts();
@@ -472,6 +474,25 @@
             { "reason", reason } });
 }
 
+// Logs the times that show whether the request was passed on too late in the stop or its target took too long.
+void RequestFlow::logBreakOff() const
+{
+    const auto now = m_context.clock.now();
+    const auto toMs = [](auto time) { return std::to_string(duration_cast<milliseconds>(time).count()); };
+    std::string targets;
+    std::string attemptMs;
+    for (const auto& it : m_runningAttempts) {
+        const auto* separator = targets.empty() ? "" : ",";
+        targets += separator + it.attempt->target().id;
+        attemptMs += separator + toMs(it.attempt->latency());
+    }
+    const auto& schedule = m_context.stopSchedule;
+    m_context.log.write(observe::Level::Warning, "request_broken_off",
+        { { "request", m_id }, { "stop_ms", schedule ? toMs(now - schedule->startedAt) : "" },
+            { "request_ms", toMs(now - m_arrivedAt) }, { "targets", targets }, { "attempt_ms", attemptMs },
+            { "waits_for_slot", m_slotRequest ? "yes" : "no" } });
+}
+
 void RequestFlow::cancelPending()
 {
     if (m_slotRequest)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -90,6 +90,7 @@
     void wake();
     base::SteadyTime nextWakeAt() const;
     void recordResponse(unsigned status, const std::string& reason);
+    void logBreakOff() const;
     bool isIdempotent() const { return m_route->kind == config::RequestKind::Idempotent; }
 
     TrafficContext& m_context;
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -270,7 +270,7 @@
     publish(1, RequestKind::NonIdempotent, 2000ms);
     placement.grants = { "t" };
     context.stopping = true;
-    context.stopSchedule = { clock.now(), clock.now() + 1000ms };
+    context.stopSchedule = { clock.now(), clock.now(), clock.now() + 1000ms };
     const auto caller = start();
     caller->send(request("1", "POST", "a"));
     const auto message = caller->readMessage();
@@ -290,7 +290,7 @@
     publish(1, RequestKind::NonIdempotent, 2000ms);
     placement.grants = { "t" };
     context.stopping = true;
-    context.stopSchedule = { clock.now(), clock.now() + 5000ms };
+    context.stopSchedule = { clock.now(), clock.now(), clock.now() + 5000ms };
     const auto caller = start();
     caller->send(request("1", "POST", "a"));
     BOOST_TEST(caller->readMessage().ends_with("body 1"));
