Pass on no request late in a stop that waited for its slot or was rejected before

Callers saw 502 for requests that a stopping instance had passed on shortly before its end; a request that is not idempotent is then of unknown outcome.

Cause: the check of a stop was made once, when a request arrived. A request that arrived in time, waited for a slot and got it up to 5.6 s after SIGTERM was still passed on, and so was one that a target had rejected late.

Change: the check is made whenever a request is about to be passed on. 2.9 s after SIGTERM, requests that no target has received are rejected at once with 503 and Retry-After 0.100, unless their deadline comes before the end of the process. Idempotent requests that a target has received may still be repeated.

Result: requestThatWaitsUntilLateInAStopIsNotPassedOn, waitingRequestsAreRejectedWhenItIsTooLateInAStop and requestRejectedByItsTargetLateInAStopIsNotPassedOn failed before (the target was reached; no response in 10 s) and pass.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -437,6 +437,14 @@
             { "reading", m_reading ? "yes" : "no" } });
 }
 
+void CallerSession::rejectWaitingRequests()
+{
+    for (const auto& it : m_exchanges) {
+        if (it->flow)
+            it->flow->rejectIfWaiting();
+    }
+}
+
 void CallerSession::endRequests()
 {
     for (const auto& it : m_exchanges) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -21,6 +21,9 @@
     /// needed; a busy one closes after its responses.
     void stop();
 
+    /// Called when requests that no target has received yet must be rejected, because the process stops.
+    void rejectWaitingRequests();
+
     /// Ends all requests in flight with their final response.
     void endRequests();
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -35,8 +35,8 @@
     // After the listener was closed, a connection without a request waits this long for its first one.
     constexpr milliseconds firstRequestTimeout { 500 };
 
-    // Requests that are read later after the stop signal are rejected, because the grace period can end while their
-    // targets work. The load balancer has removed the instance by then, unless it has too few others.
+    // Requests that no target has received by then after the stop signal are rejected, because the grace period can end
+    // while their targets work. The load balancer has removed the instance by then, unless it has too few others.
     constexpr milliseconds lastRequestDelay { 2900 };
 
     // Reserved at the end of the grace period for the process to exit.
@@ -160,6 +160,8 @@
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
             m_traffic.closeKeptCallerConnections();
+            co_await sleepUntil(std::min(startedAt + lastRequestDelay, deadline));
+            m_traffic.rejectWaitingRequests();
             co_await sleepUntil(std::min(startedAt + listenerCloseDelay, deadline));
             m_traffic.stopAccepting();
             const auto idleCloseAt = m_clock.now() + firstRequestTimeout;
--- a/src/gateway/gateway_traffic.cpp
+++ b/src/gateway/gateway_traffic.cpp
@@ -112,6 +112,14 @@
     stopIdleSessions();
 }
 
+void GatewayTraffic::rejectWaitingRequests()
+{
+    for (const auto& it : m_sessions) {
+        if (const auto session = it.lock())
+            session->rejectWaitingRequests();
+    }
+}
+
 void GatewayTraffic::endActiveRequests()
 {
     for (const auto& it : m_sessions) {
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -33,6 +33,9 @@
     /// Closes all caller connections without a request, now and whenever one becomes idle.
     void closeIdleCallerConnections();
 
+    /// Rejects requests that no target has received yet, unless they end before the process does.
+    void rejectWaitingRequests();
+
     /// Ends all requests in flight with their final response.
     void endActiveRequests();
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -144,19 +144,25 @@
         = std::min(parseDeadlineHeader(m_request, m_context.names).value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrivedAt + timeLimit - responseMargin;
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
-    if (arrivedTooLateInStop())
+    if (isTooLateInStop())
         return reject(503, "the instance stops");
     m_service = routing::chooseService(*m_route, std::uniform_real_distribution<double>(0, 1)(m_context.random));
     return std::nullopt;
 }
 
-// Whether the process may end while a target still runs the request.
-bool RequestFlow::arrivedTooLateInStop() const
+// Whether the process may end while a target still runs the request, if it is passed on now.
+bool RequestFlow::isTooLateInStop() const
 {
     const auto& schedule = m_context.stopSchedule;
     return schedule && m_context.clock.now() >= schedule->lastRequestAt && m_deadline > schedule->endsAt;
 }
 
+// Whether no target has received the request, except for targets that did not run it.
+bool RequestFlow::isWaiting() const
+{
+    return m_runningAttempts.empty() && !m_mayHaveRun && !m_fallback;
+}
+
 void RequestFlow::prepareForwardedRequest()
 {
     m_forwardedRequest = std::make_shared<ForwardedRequest>();
@@ -217,6 +223,8 @@
     }
     if (m_context.clock.now() >= m_deadline)
         return fail("the deadline has passed");
+    if (isWaiting() && isTooLateInStop())
+        return reject(503, "the instance stops");
     reportOverdueAttempts();
     if (m_runningAttempts.empty() && !m_slotRequest)
         return retryOrFail();
@@ -284,7 +292,8 @@
     }
     const auto snapshot = m_context.snapshots.read();
     const auto* entry = snapshot->targets->find(m_service, decision.target);
-    const bool isWanted = !m_callerDisconnected && !m_ending && m_context.clock.now() < m_deadline;
+    const bool isTooLate = m_context.clock.now() >= m_deadline || (isWaiting() && isTooLateInStop());
+    const bool isWanted = !m_callerDisconnected && !m_ending && !isTooLate;
     if (isWanted && mayUse(entry)) {
         startAttempt(slot, entry->record);
     } else {
@@ -443,7 +452,7 @@
     if (status == 503) {
         const auto now = m_context.clock.now();
         auto wait = m_slotRefusal && m_slotRefusal->retryAfter.count() ? m_slotRefusal->retryAfter : defaultRetryAfter;
-        if (m_ending || arrivedTooLateInStop())
+        if (m_ending || isTooLateInStop())
             wait = stopRetryAfter;
         wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
         if (m_route)
@@ -504,6 +513,11 @@
     m_runningAttempts.clear();
 }
 
+void RequestFlow::rejectIfWaiting()
+{
+    wake();
+}
+
 void RequestFlow::end()
 {
     m_ending = true;
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -59,7 +59,7 @@
 /// The end of a process that stops. All times count from the stop signal.
 struct StopSchedule {
     base::SteadyTime startedAt; ///< The stop signal.
-    base::SteadyTime lastRequestAt; ///< Requests that are read later are rejected if they could last beyond `endsAt`.
+    base::SteadyTime lastRequestAt; ///< Later, no request is passed on that could last beyond `endsAt`.
     base::SteadyTime endsAt; ///< Requests in flight get their final response.
 };
 
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -281,6 +281,75 @@
     BOOST_TEST(placement.slotRequests.empty());
 }
 
+// Guards against a request that waits for a slot and is passed on too late for its target to finish before the process
+// ends.
+BOOST_FIXTURE_TEST_CASE(requestThatWaitsUntilLateInAStopIsNotPassedOn, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t" };
+    placement.slotDelay = 400ms;
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now() + 200ms, clock.now() + 1000ms };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(headerOf(message, "Retry-After") == "0.100");
+    BOOST_TEST(caller->waitForPeerClose());
+    stopTraffic();
+    BOOST_TEST(held.target.connections() == 0U);
+}
+
+// Guards against a queued request that a stopping instance rejects only when its slot is granted or its deadline passes.
+BOOST_FIXTURE_TEST_CASE(waitingRequestsAreRejectedWhenItIsTooLateInAStop, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 9000ms);
+    callerDeadline = 9000ms;
+    placement.grants = { "t" };
+    placement.slotDelay = 8000ms;
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    std::this_thread::sleep_for(100ms);
+    http::asio::post(io, [this] {
+        context.stopping = true;
+        context.stopSchedule = { clock.now(), clock.now(), clock.now() + 1000ms };
+        for (const auto& it : sessions) {
+            if (const auto session = it.lock())
+                session->rejectWaitingRequests();
+        }
+    });
+    BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(caller->waitForPeerClose());
+    stopTraffic();
+    BOOST_TEST(placement.withdrawn == 1U);
+}
+
+// Guards against a request that one target rejects and that reaches another too late in a stop.
+BOOST_FIXTURE_TEST_CASE(requestRejectedByItsTargetLateInAStopIsNotPassedOn, FlowFixture)
+{
+    HeldTarget held(*this);
+    RawTarget rejecting(answering([this](const std::string& message) {
+        std::this_thread::sleep_for(300ms);
+        return "HTTP/1.1 503 Busy\r\n" + names.requestId + ": " + headerOf(message, names.requestId) + "\r\n"
+            + names.notRun + ": 1\r\nContent-Length: 0\r\n\r\n";
+    }));
+    ports = { { "r", rejecting.port() }, { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "r", "t" };
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now() + 200ms, clock.now() + 1000ms };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(caller->waitForPeerClose());
+    stopTraffic();
+    BOOST_TEST(held.target.connections() == 0U);
+}
+
 // Guards against rejecting a request that ends before the process does, whatever its target does.
 BOOST_FIXTURE_TEST_CASE(requestThatEndsBeforeTheProcessIsServed, FlowFixture)
 {
