Relay a target's failure when the instance gives a request up

Callers of a stopping instance saw its own 502, without the target's signature, although a target had responded with a complete failure and a second attempt was running.

Cause: the end of the process and the deadline led to a response of the instance without regard to the failure that was kept as a fallback.

Change: fail() relays the fallback first, whatever the reason.

Result: targetsFailureIsRelayedAtTheEndOfAStop failed before (502) and passes; caller_session_test: 17 cases without errors.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -391,8 +391,6 @@
         requestSlot();
         return std::nullopt;
     }
-    if (m_fallback)
-        return relay(*m_fallback);
     return fail(m_slotRefusal ? routing::toString(m_slotRefusal->refusal) : m_lastAttemptReason);
 }
 
@@ -412,9 +410,12 @@
     }
 }
 
-// Responds with 503 if no target can have run the request, otherwise with 504 after the deadline or 502 before it.
+// Relays the failure that a target has responded with, if there is one. Otherwise responds with 503 if no target can
+// have run the request, with 504 after the deadline, or with 502.
 RequestFlow::MaybeResponse RequestFlow::fail(const std::string& reason)
 {
+    if (m_fallback)
+        return relay(*m_fallback);
     for (const auto& it : m_runningAttempts)
         m_mayHaveRun = m_mayHaveRun || it.attempt->sent();
     if (!m_mayHaveRun)
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -350,6 +350,31 @@
     BOOST_TEST(held.target.connections() == 0U);
 }
 
+// Guards against a complete response of a target that is replaced by one of the instance at the end of a stop.
+BOOST_FIXTURE_TEST_CASE(targetsFailureIsRelayedAtTheEndOfAStop, FlowFixture)
+{
+    HeldTarget held(*this);
+    RawTarget failing(answering([this](const std::string& message) {
+        return response(headerOf(message, names.requestId), "failed", "500 Internal Server Error");
+    }));
+    ports = { { "f", failing.port() }, { "t", held.target.port() } };
+    publish(1, RequestKind::Idempotent, 9000ms);
+    placement.grants = { "f", "t" };
+    const auto caller = start();
+    caller->send(request("1"));
+    held.waitForRequests(1);
+    http::asio::post(io, [this] {
+        context.stopping = true;
+        for (const auto& it : sessions) {
+            if (const auto session = it.lock())
+                session->endRequests();
+        }
+    });
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 500"));
+    BOOST_TEST(headerOf(message, names.signature) == "proof");
+}
+
 // Guards against rejecting a request that ends before the process does, whatever its target does.
 BOOST_FIXTURE_TEST_CASE(requestThatEndsBeforeTheProcessIsServed, FlowFixture)
 {
