--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -302,7 +302,7 @@
     BOOST_TEST(held.target.connections() == 0U);
 }
 
-// Guards against a queued request that a stopping instance rejects only when its slot is granted or its deadline passes.
+// Guards against a queued request that a stopping instance rejects only when it gets a slot or its deadline passes.
 BOOST_FIXTURE_TEST_CASE(waitingRequestsAreRejectedWhenItIsTooLateInAStop, FlowFixture)
 {
     HeldTarget held(*this);
