--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -33,9 +33,15 @@
     /// Closes all caller connections without a request, now and whenever one becomes idle.
     void closeIdleCallerConnections();
 
+    /// Rejects requests that no target has received yet, unless they end before the process does.
+    void rejectWaitingRequests();
+
     /// Ends all requests in flight with their final response.
     void endActiveRequests();
 
+    /// Logs each connection that the end of the process will cut.
+    void logUnfinishedSessions() const;
+
     /// Stops accepting connections. Those that already wait in the listen queue are still accepted and served.
     void stopAccepting();
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -144,19 +144,25 @@
         = std::min(parseDeadlineHeader(m_request, m_context.names).value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrivedAt + timeLimit - responseMargin;
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
-    if (arrivedTooLateInStop())
+    if (isTooLateInStop())
         return reject(503, "the instance stops");
     m_service = routing::chooseService(*m_route, std::uniform_real_distribution<double>(0, 1)(m_context.random));
     return std::nullopt;
 }
 
-// Whether the process may end while a target still runs the request.
-bool RequestFlow::arrivedTooLateInStop() const
+// Whether the process may end while a target still runs the request, if it is passed on now.
+bool RequestFlow::isTooLateInStop() const
 {
     const auto& schedule = m_context.stopSchedule;
     return schedule && m_context.clock.now() >= schedule->lastRequestAt && m_deadline > schedule->endsAt;
 }
 
+// Whether no target has received the request, except for targets that did not run it.
+bool RequestFlow::isWaiting() const
+{
+    return m_runningAttempts.empty() && !m_mayHaveRun && !m_fallback;
+}
+
 void RequestFlow::prepareForwardedRequest()
 {
     m_forwardedRequest = std::make_shared<ForwardedRequest>();
@@ -211,10 +217,14 @@
     }
     if (auto response = handleEndedAttempts())
         return response;
-    if (m_ending)
+    if (m_ending) {
+        logBreakOff();
         return fail("the instance stops");
+    }
     if (m_context.clock.now() >= m_deadline)
         return fail("the deadline has passed");
+    if (isWaiting() && isTooLateInStop())
+        return reject(503, "the instance stops");
     reportOverdueAttempts();
     if (m_runningAttempts.empty() && !m_slotRequest)
         return retryOrFail();
@@ -282,7 +292,8 @@
     }
     const auto snapshot = m_context.snapshots.read();
     const auto* entry = snapshot->targets->find(m_service, decision.target);
-    const bool isWanted = !m_callerDisconnected && !m_ending && m_context.clock.now() < m_deadline;
+    const bool isTooLate = m_context.clock.now() >= m_deadline || (isWaiting() && isTooLateInStop());
+    const bool isWanted = !m_callerDisconnected && !m_ending && !isTooLate;
     if (isWanted && mayUse(entry)) {
         startAttempt(slot, entry->record);
     } else {
@@ -380,8 +391,6 @@
         requestSlot();
         return std::nullopt;
     }
-    if (m_fallback)
-        return relay(*m_fallback);
     return fail(m_slotRefusal ? routing::toString(m_slotRefusal->refusal) : m_lastAttemptReason);
 }
 
@@ -401,9 +410,12 @@
     }
 }
 
-// Responds with 503 if no target can have run the request, otherwise with 504 after the deadline or 502 before it.
+// Relays the failure that a target has responded with, if there is one. Otherwise responds with 503 if no target can
+// have run the request, with 504 after the deadline, or with 502.
 RequestFlow::MaybeResponse RequestFlow::fail(const std::string& reason)
 {
+    if (m_fallback)
+        return relay(*m_fallback);
     for (const auto& it : m_runningAttempts)
         m_mayHaveRun = m_mayHaveRun || it.attempt->sent();
     if (!m_mayHaveRun)
@@ -441,7 +453,7 @@
     if (status == 503) {
         const auto now = m_context.clock.now();
         auto wait = m_slotRefusal && m_slotRefusal->retryAfter.count() ? m_slotRefusal->retryAfter : defaultRetryAfter;
-        if (m_ending || arrivedTooLateInStop())
+        if (m_ending || isTooLateInStop())
             wait = stopRetryAfter;
         wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
         if (m_route)
@@ -472,6 +484,25 @@
             { "reason", reason } });
 }
 
+// Logs the times that show whether the request was passed on too late in the stop or its target took too long.
+void RequestFlow::logBreakOff() const
+{
+    const auto now = m_context.clock.now();
+    const auto toMs = [](auto time) { return std::to_string(duration_cast<milliseconds>(time).count()); };
+    std::string targets;
+    std::string attemptMs;
+    for (const auto& it : m_runningAttempts) {
+        const auto* separator = targets.empty() ? "" : ",";
+        targets += separator + it.attempt->target().id;
+        attemptMs += separator + toMs(it.attempt->latency());
+    }
+    const auto& schedule = m_context.stopSchedule;
+    m_context.log.write(observe::Level::Warning, "request_broken_off",
+        { { "request", m_id }, { "stop_ms", schedule ? toMs(now - schedule->startedAt) : "" },
+            { "request_ms", toMs(now - m_arrivedAt) }, { "targets", targets }, { "attempt_ms", attemptMs },
+            { "waits_for_slot", m_slotRequest ? "yes" : "no" } });
+}
+
 void RequestFlow::cancelPending()
 {
     if (m_slotRequest)
@@ -483,6 +514,11 @@
     m_runningAttempts.clear();
 }
 
+void RequestFlow::rejectIfWaiting()
+{
+    wake();
+}
+
 void RequestFlow::end()
 {
     m_ending = true;
