Serve requests that arrived before a stop of the entry daemon

Callers that had connected and sent a request just before a planned stop saw the connection close without a response.

Cause: the session of an accepted connection can start after the stop was announced. It then ended without looking for bytes that had already arrived, although Session::stop does.

Change: awaitRequest makes the same check.

--- a/src/daemon/session.cpp
+++ b/src/daemon/session.cpp
@@ -43,10 +43,11 @@
 {
     if (m_connection->buffer().size() != 0)
         co_return true;
-    if (m_stopping)
+    http::error_code ec;
+    // A request can arrive before the session of an accepted connection starts.
+    if (m_stopping && m_connection->socket().available(ec) == 0)
         co_return false;
     m_idle = true;
-    http::error_code ec;
     m_connection->closeAt(m_context.clock().now() + m_context.shared.dependencies.timeouts.keepAlive);
     co_await m_connection->socket().async_wait(http::tcp::socket::wait_read, http::captureError(ec));
     m_idle = false;
--- a/tests/io/entry_daemon_test.cpp
+++ b/tests/io/entry_daemon_test.cpp
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <thread>
+#include <vector>
 
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
@@ -198,3 +200,29 @@
     ::kill(daemon.process.pid, SIGTERM);
     BOOST_TEST(daemon.process.wait() == 3);
 }
+
+// Guards against a stop that closes a connection whose request was sent before the stop.
+BOOST_AUTO_TEST_CASE(stopAnswersRequestsThatWereSentBefore)
+{
+    constexpr unsigned rounds = 20;
+    constexpr unsigned callersPerRound = 16;
+    unsigned answered = 0;
+    for (unsigned round = 0; round < rounds; ++round) {
+        RawTarget target([](RawConnection& peer, unsigned) { serveOkResponses(peer); });
+        ServerFixture fixture;
+        fixture.settings.trafficThreads = 2;
+        fixture.addTarget(target.port(), callersPerRound);
+        fixture.start();
+        std::vector<std::unique_ptr<RawConnection>> callers;
+        for (unsigned n = 0; n < callersPerRound; ++n) {
+            callers.push_back(fixture.caller());
+            callers.back()->send("GET /x HTTP/1.1\r\nHost: s\r\n\r\n");
+        }
+        std::thread stop([&] { fixture.server->stopGracefully(); });
+        for (const auto& it : callers)
+            answered += it->readMessage().starts_with("HTTP/1.1 200") ? 1 : 0;
+        callers.clear();
+        stop.join();
+    }
+    BOOST_TEST(answered == rounds * callersPerRound);
+}
