Keep the Retry-After of a service without free slots during a stop

Callers of a stopping instance were told to come back after 0.1 s although the service had refused their request for want of a slot.

Cause: the Retry-After of a stop, which means that another instance can serve the request at once, replaced the one of the dispatch point.

Change: the dispatch point's value goes first.

Result: refusalOfAServiceKeepsItsRetryAfterInAStop failed before (0.100) and passes (0.250).

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -452,9 +452,9 @@
         message.set(m_context.names.requestId, m_id);
     if (status == 503) {
         const auto now = m_context.clock.now();
-        auto wait = m_slotRefusal && m_slotRefusal->retryAfter.count() ? m_slotRefusal->retryAfter : defaultRetryAfter;
-        if (m_ending || isTooLateInStop())
-            wait = stopRetryAfter;
+        auto wait = m_ending || isTooLateInStop() ? stopRetryAfter : defaultRetryAfter;
+        if (m_slotRefusal && m_slotRefusal->retryAfter.count() > 0)
+            wait = m_slotRefusal->retryAfter;
         wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
         if (m_route)
             wait = std::min(wait, duration_cast<milliseconds>((m_deadline - now) * maxRetryAfterFraction));
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -299,9 +299,26 @@
     BOOST_TEST(headerOf(message, "Retry-After") == "0.100");
     BOOST_TEST(caller->waitForPeerClose());
     stopTraffic();
+    BOOST_TEST(placement.slotRequests.size() == 1U);
     BOOST_TEST(held.target.connections() == 0U);
 }
 
+// Guards against callers that return too soon to a service without free slots, because the instance stops.
+BOOST_FIXTURE_TEST_CASE(refusalOfAServiceKeepsItsRetryAfterInAStop, FlowFixture)
+{
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.slotDelay = 400ms;
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now() + 200ms, clock.now() + 1000ms };
+    const auto caller = start();
+    caller->send(request("1", "POST", "a"));
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(headerOf(message, "Retry-After") == "0.250");
+    stopTraffic();
+    BOOST_TEST(placement.slotRequests.size() == 1U);
+}
+
 // Guards against a queued request that a stopping instance rejects only when it gets a slot or its deadline passes.
 BOOST_FIXTURE_TEST_CASE(waitingRequestsAreRejectedWhenItIsTooLateInAStop, FlowFixture)
 {
@@ -347,6 +364,7 @@
     BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 503"));
     BOOST_TEST(caller->waitForPeerClose());
     stopTraffic();
+    BOOST_TEST(rejecting.connections() == 1U);
     BOOST_TEST(held.target.connections() == 0U);
 }
 
