Start no second attempt shortly before the end of a stop

A stopping instance sent idempotent requests to a second target up to the moment at which it gave all requests up, so that the target worked in vain and the caller waited for nothing.

Cause: only the deadline of the request limited further attempts, not the end of the process.

Result: idempotentRequestsAreRepeatedUntilShortlyBeforeTheEndOfAStop failed before (the second target was reached) and passes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -441,7 +441,7 @@
 {
     for (const auto& it : m_exchanges) {
         if (it->flow)
-            it->flow->rejectIfWaiting();
+            it->flow->onLastRequestTime();
     }
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -157,8 +157,8 @@
     return schedule && m_context.clock.now() >= schedule->lastRequestAt && m_deadline > schedule->endsAt;
 }
 
-// Whether no target has received the request, except for targets that did not run it.
-bool RequestFlow::isWaiting() const
+// Whether no attempt is running and none can have run the request.
+bool RequestFlow::mayBeRejected() const
 {
     return m_runningAttempts.empty() && !m_mayHaveRun && !m_fallback;
 }
@@ -218,12 +218,13 @@
     if (auto response = handleEndedAttempts())
         return response;
     if (m_ending) {
-        logBreakOff();
+        if (!m_runningAttempts.empty() && !m_fallback)
+            logBreakOff();
         return fail("the instance stops");
     }
     if (m_context.clock.now() >= m_deadline)
         return fail("the deadline has passed");
-    if (isWaiting() && isTooLateInStop())
+    if (mayBeRejected() && isTooLateInStop())
         return reject(503, "the instance stops");
     reportOverdueAttempts();
     if (m_runningAttempts.empty() && !m_slotRequest)
@@ -292,7 +293,7 @@
     }
     const auto snapshot = m_context.snapshots.read();
     const auto* entry = snapshot->targets->find(m_service, decision.target);
-    const bool isTooLate = m_context.clock.now() >= m_deadline || (isWaiting() && isTooLateInStop());
+    const bool isTooLate = m_context.clock.now() >= m_deadline || (mayBeRejected() && isTooLateInStop());
     const bool isWanted = !m_callerDisconnected && !m_ending && !isTooLate;
     if (isWanted && mayUse(entry)) {
         startAttempt(slot, entry->record);
@@ -380,7 +381,9 @@
 {
     if (m_slotRefusal || m_callerDisconnected || m_attemptCount >= m_route->maxAttempts)
         return false;
-    if (m_deadline - m_context.clock.now() < minAttemptTime)
+    const auto& schedule = m_context.stopSchedule;
+    const auto end = schedule ? std::min(m_deadline, schedule->endsAt) : m_deadline;
+    if (end - m_context.clock.now() < minAttemptTime)
         return false;
     return isIdempotent() || !m_mayHaveRun;
 }
@@ -514,7 +517,7 @@
     m_runningAttempts.clear();
 }
 
-void RequestFlow::rejectIfWaiting()
+void RequestFlow::onLastRequestTime()
 {
     wake();
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -50,9 +50,9 @@
     /// idempotent request are cancelled.
     void onCallerDisconnected();
 
-    /// Called when it is too late in a stop to pass requests on. Rejects the request if no target has received it and
-    /// its deadline lies beyond the end of the process.
-    void rejectIfWaiting();
+    /// Called at `StopSchedule::lastRequestAt`. Rejects the request if no target has received it and its deadline lies
+    /// beyond the end of the process.
+    void onLastRequestTime();
 
     /// Ends the request with its final response, because the process is about to exit.
     void end();
@@ -86,7 +86,7 @@
     CallerResponse relay(TargetAttempt& attempt, std::shared_ptr<StreamedBody> stream = nullptr);
     CallerResponse reject(unsigned status, const std::string& reason);
     bool isTooLateInStop() const;
-    bool isWaiting() const;
+    bool mayBeRejected() const;
     void reportAttempt(RunningAttempt& it);
     std::shared_ptr<StreamedBody> makeStream(const RunningAttempt& attempt);
     bool mayUse(const membership::DirectoryEntry* target) const;
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -59,7 +59,8 @@
 /// The end of a process that stops. All times count from the stop signal.
 struct StopSchedule {
     base::SteadyTime startedAt; ///< The stop signal.
-    base::SteadyTime lastRequestAt; ///< Later, no request is passed on that could last beyond `endsAt`.
+    /// From then on, requests that no target has received are rejected if their deadline lies beyond `endsAt`.
+    base::SteadyTime lastRequestAt;
     base::SteadyTime endsAt; ///< Requests in flight get their final response.
 };
 
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -319,6 +319,32 @@
     BOOST_TEST(placement.slotRequests.size() == 1U);
 }
 
+// Guards against a second attempt that starts when the process is about to end, and against giving up an idempotent
+// request earlier.
+BOOST_AUTO_TEST_CASE(idempotentRequestsAreRepeatedUntilShortlyBeforeTheEndOfAStop)
+{
+    for (const bool isShortlyBefore : { false, true }) {
+        FlowFixture fixture;
+        HeldTarget second(fixture);
+        second.released = true;
+        RawTarget first([](RawConnection& peer, unsigned) {
+            peer.readMessage();
+            std::this_thread::sleep_for(400ms);
+        });
+        fixture.ports = { { "f", first.port() }, { "t", second.target.port() } };
+        fixture.publish(1, RequestKind::Idempotent, 2000ms);
+        fixture.placement.grants = { "f", "t" };
+        const auto now = fixture.clock.now();
+        fixture.context.stopping = true;
+        fixture.context.stopSchedule = { now, now + 200ms, now + (isShortlyBefore ? 450ms : 1200ms) };
+        const auto caller = fixture.start();
+        caller->send(fixture.request("1"));
+        BOOST_TEST(caller->readMessage().starts_with(isShortlyBefore ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+        fixture.stopTraffic();
+        BOOST_TEST(second.target.connections() == (isShortlyBefore ? 0U : 1U));
+    }
+}
+
 // Guards against a queued request that a stopping instance rejects only when it gets a slot or its deadline passes.
 BOOST_FIXTURE_TEST_CASE(waitingRequestsAreRejectedWhenItIsTooLateInAStop, FlowFixture)
 {
