Give responses that are being sent the rest of the grace period

Callers that read a long response slowly got a part of it and a reset when an instance stopped, although the grace period left them time: streams were reset when requests ended, 0.4 s before the end of the grace period, and the process exited 50 ms later, whatever was still being written.

After requests have ended, the instance now waits until no connection is open, at most until 100 ms before the end of the grace period, and only then resets the streams that are still incomplete. Idle connections are closed at the same time, so that they do not delay the exit.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -450,6 +450,12 @@
     for (const auto& it : m_exchanges) {
         if (it->flow)
             it->flow->end();
+    }
+}
+
+void CallerSession::resetUnfinishedStreams()
+{
+    for (const auto& it : m_exchanges) {
         // The end of the process would look like the end of a body without a length.
         if (it->response && it->response->stream)
             m_connection->reset();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -27,6 +27,9 @@
     /// Ends all requests in flight with their final response.
     void endRequests();
 
+    /// Resets the connection if a long response is incomplete, because the process exits.
+    void resetUnfinishedStreams();
+
     /// Logs what the end of the process will cut: responses that are not sent completely, and a request that is read.
     void logUnfinished() const;
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -39,9 +39,12 @@
     // while their targets work. The load balancer has removed the instance by then, unless it has too few others.
     constexpr milliseconds lastRequestDelay { 2900 };
 
-    // Reserved at the end of the grace period for the process to exit.
+    // Requests end this long before the grace period does, which leaves time to send their responses.
     constexpr milliseconds shutdownMargin { 400 };
 
+    // Reserved at the end of the grace period for the process to exit.
+    constexpr milliseconds exitMargin { 100 };
+
     // Interval between checks for requests in flight while the instance stops.
     constexpr milliseconds drainPollInterval { 50 };
 
@@ -155,6 +158,7 @@
         {
             const auto startedAt = m_clock.now();
             const auto deadline = startedAt + m_settings.gracePeriod - shutdownMargin;
+            const auto exitAt = startedAt + m_settings.gracePeriod - exitMargin;
             m_log.write(observe::Level::Info, "stopping", { { "active", std::to_string(m_context.activeRequests) } });
             m_traffic.announceStop({ startedAt, startedAt + lastRequestDelay, deadline });
             m_control.announceStop();
@@ -166,14 +170,16 @@
             m_traffic.stopAccepting();
             const auto idleCloseAt = m_clock.now() + firstRequestTimeout;
             while (!m_traffic.isIdle() && m_clock.now() < deadline) {
-                co_await sleepUntil(m_clock.now() + drainPollInterval);
+                co_await sleepUntil(std::min(m_clock.now() + drainPollInterval, deadline));
                 if (m_clock.now() >= idleCloseAt)
                     m_traffic.closeIdleCallerConnections();
             }
             m_traffic.endActiveRequests();
-            // Leaves time for the last responses to be written.
-            co_await sleepUntil(m_clock.now() + drainPollInterval);
+            m_traffic.closeIdleCallerConnections();
+            while (!m_traffic.isIdle() && m_clock.now() < exitAt)
+                co_await sleepUntil(std::min(m_clock.now() + drainPollInterval, exitAt));
             m_traffic.logUnfinishedSessions();
+            m_traffic.resetUnfinishedStreams();
             m_io.stop();
         }
 
--- a/src/gateway/gateway_traffic.cpp
+++ b/src/gateway/gateway_traffic.cpp
@@ -128,6 +128,14 @@
     }
 }
 
+void GatewayTraffic::resetUnfinishedStreams()
+{
+    for (const auto& it : m_sessions) {
+        if (const auto session = it.lock())
+            session->resetUnfinishedStreams();
+    }
+}
+
 void GatewayTraffic::logUnfinishedSessions() const
 {
     for (const auto& it : m_sessions) {
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -39,6 +39,9 @@
     /// Ends all requests in flight with their final response.
     void endActiveRequests();
 
+    /// Resets connections on which a long response is incomplete. Called when the process exits.
+    void resetUnfinishedStreams();
+
     /// Logs each connection that the end of the process will cut.
     void logUnfinishedSessions() const;
 
--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -78,15 +78,16 @@
     }
 
     /// Writes version `version` of the configuration, with one route for requests of `kind` below `prefix`.
-    void configure(const std::string& kind = "safe", unsigned version = 2, const std::string& prefix = "/p/")
+    void configure(const std::string& kind = "safe", unsigned version = 2, const std::string& prefix = "/p/",
+        const std::string& timeout = "3s")
     {
         store.put("op", "config",
             platform::encodeBase64(fmt::format(
                 R"({{"version":"{:08x}","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,
                 "header_timeout":"3s","idle_timeout":"15s"}},"listeners":[{{"host":"h","rules":[{{"name":"r",
                 "type":"{}","target_latency":"1s","priority":1,"match":{{"prefix":"{}"}},
-                "action":{{"service":"s1","timeout":"3s","max_attempts":2}}}}]}}],"clusters":[{{"name":"s1"}}]}})",
-                version, kind, prefix)));
+                "action":{{"service":"s1","timeout":"{}","max_attempts":2}}}}]}}],"clusters":[{{"name":"s1"}}]}})",
+                version, kind, prefix, timeout)));
     }
 
     void listTarget(const std::string& id, const Target& target, const std::string& state = "ready")
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -128,3 +128,70 @@
         BOOST_ERROR(it);
     BOOST_TEST(ledger.countStatus(200) > 40U);
 }
+
+namespace {
+
+/// A target whose responses are too long for the buffers of a connection.
+struct LongResponseTarget {
+    LongResponseTarget()
+        : target([this](RawConnection& peer, unsigned) {
+            const auto id = headerOf(peer.readMessage(), names::requestIdHeader);
+            peer.send(fmt::format(
+                "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: proof\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
+                names::requestIdHeader, id, names::signatureHeader, body.size(), body));
+        })
+    {
+    }
+
+    const std::string body = std::string(6 << 20, 'x');
+    RawTarget target;
+};
+
+std::string requestText(const std::string& id, const std::string& method = "GET", std::size_t bodyBytes = 0)
+{
+    return fmt::format("{} /p/x HTTP/1.1\r\nHost: h\r\n{}: {}\r\n{}: 9000\r\nContent-Length: {}\r\n\r\n", method,
+        names::requestIdHeader, id, names::deadlineHeader, bodyBytes);
+}
+
+// When requests in flight have got their final response, and time remains to write it.
+constexpr auto requestsEnded = 5680ms;
+
+} // namespace
+
+// Guards against a long response that is broken off when requests end although the grace period leaves time to read it.
+BOOST_FIXTURE_TEST_CASE(longResponseToASlowCallerGetsTheRestOfTheGracePeriod, Fleet)
+{
+    const LongResponseTarget slow;
+    configure("unsafe", 2, "/p/", "9s");
+    listTarget("i-1", slow.target.port());
+    startReady(1);
+    const auto caller = RawConnection::connectTo(callerPorts[0]);
+    caller->send(requestText("1"));
+    const auto head = caller->readUntil("\r\n\r\n");
+    const auto stoppedAt = Clock::now();
+    process(0).signal(SIGTERM);
+    std::this_thread::sleep_until(stoppedAt + requestsEnded);
+    BOOST_TEST(caller->readAll().size() == slow.body.size());
+    BOOST_TEST(!caller->wasReset());
+    BOOST_TEST(process(0).wait() == 0);
+    BOOST_TEST((Clock::now() - stoppedAt < grace));
+}
+
+// Guards against a caller that reads nothing and keeps the process beyond its grace period, and against a response that
+// ends with the connection and looks complete although the end of the process broke it off.
+BOOST_FIXTURE_TEST_CASE(callerThatNeverReadsDoesNotDelayTheEndOfTheProcess, Fleet)
+{
+    const LongResponseTarget slow;
+    configure("unsafe", 2, "/p/", "9s");
+    listTarget("i-1", slow.target.port());
+    startReady(1);
+    const auto caller = RawConnection::connectTo(callerPorts[0]);
+    caller->send(requestText("1").replace(0, 17, "GET /p/x HTTP/1.0"));
+    caller->readUntil("\r\n\r\n");
+    const auto stoppedAt = Clock::now();
+    process(0).signal(SIGTERM);
+    BOOST_TEST(process(0).wait() == 0);
+    BOOST_TEST((Clock::now() - stoppedAt < grace));
+    BOOST_TEST(caller->readAll().size() < slow.body.size());
+    BOOST_TEST(caller->wasReset());
+}
