Guard responses against bytes that arrive after the exit of the process

A caller that still sent bytes when the process exited could lose a response that had been written: the kernel resets a connection of an ended process when bytes arrive, and drops what the caller has not read.

--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -195,3 +195,38 @@
     BOOST_TEST(caller->readAll().size() < slow.body.size());
     BOOST_TEST(caller->wasReset());
 }
+
+// Guards against a response that the exit of the process takes along because the caller still sends. The kernel holds
+// it until the caller reads, and resets the connection when bytes arrive for a process that has ended.
+BOOST_FIXTURE_TEST_CASE(responseToACallerThatStillSendsIsNotLostAtTheEndOfAStop, Fleet)
+{
+    const std::string body(1 << 20, 'x');
+    RawTarget target([&](RawConnection& peer, unsigned) {
+        const auto id = headerOf(peer.readMessage(), names::requestIdHeader);
+        std::this_thread::sleep_for(5400ms);
+        peer.send(
+            fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: proof\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
+                names::requestIdHeader, id, names::signatureHeader, body.size(), body));
+    });
+    configure("unsafe", 2, "/p/", "9s");
+    listTarget("i-1", target.port());
+    startReady(1);
+    const auto caller = RawConnection::connectTo(callerPorts[0]);
+    caller->send(requestText("1"));
+    while (target.connections() == 0)
+        std::this_thread::sleep_for(1ms);
+    const auto stoppedAt = Clock::now();
+    process(0).signal(SIGTERM);
+    std::atomic<bool> ended { false };
+    std::thread sender([&] {
+        std::this_thread::sleep_until(stoppedAt + 5500ms);
+        for (; !ended; std::this_thread::sleep_for(5ms))
+            caller->send("x");
+    });
+    std::this_thread::sleep_until(stoppedAt + requestsEnded);
+    const auto message = caller->readMessage();
+    ended = true;
+    sender.join();
+    BOOST_TEST(message.size() > body.size());
+    BOOST_TEST(process(0).wait() == 0);
+}
