Reject uploads that cannot be served during a stop

Callers whose upload was still arriving when an instance exited got a closed connection and no response. Uploads that a stopping instance would reject once they were complete got the rejection only after the caller had sent all of it, after an invitation to do so if the caller had asked with Expect: 100-continue.

No target has received these requests. The rest of the body is read and discarded, so that callers that send before they read get the response, and nothing in it is run.

incompleteUploadIsRejectedWhenItIsTooLateInAStop, uploadThatBeginsTooLateIn- AStopIsRejectedAtOnce and uploadIsRejectedOnlyWhenItCannotEndBeforeTheProcess failed before: no response came. rejectedUploadBehindAnotherRequestIsNotRun passed before and guards the new path.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 namespace buckthorncroft::gateway {
@@ -160,7 +161,12 @@
         co_return false;
     }
     auto memory = std::make_unique<limits::MemoryReservation>(m_context.memory);
+    m_arrivingRequest = &parser.get();
+    m_arrivingSince = begin;
+    if (!parser.is_done() && isTooLateInStop(m_context, parser.get(), begin))
+        rejectArrivingRequest();
     const bool whole = co_await readBody(parser, *memory);
+    m_arrivingRequest = nullptr;
     // The response that closes the connection may have been chosen while the body arrived.
     if (!whole || m_closing)
         co_return false;
@@ -172,7 +178,8 @@
 http::Awaitable<bool> CallerSession::readBody(RequestParser& parser, limits::MemoryReservation& memory)
 {
     http::error_code ec;
-    if (http::beast::iequals(parser.get()[http::bhttp::field::expect], "100-continue") && m_exchanges.empty()) {
+    if (http::beast::iequals(parser.get()[http::bhttp::field::expect], "100-continue") && m_exchanges.empty()
+        && !m_closing) {
         const std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await http::asio::async_write(m_connection->socket(), http::asio::buffer(line), http::captureError(ec));
     }
@@ -212,14 +219,19 @@
 }
 
 // Queues the rejection of a request that was not read completely, after which the connection closes.
-void CallerSession::rejectUnread(unsigned status, const std::string& reason, const std::string& id)
+void CallerSession::rejectUnread(
+    unsigned status, const std::string& reason, const std::string& id, milliseconds retryAfter)
 {
+    if (m_closing)
+        return;
+    m_closing = true;
     CallerResponse response;
     response.message.result(status);
     if (!id.empty())
         response.message.set(m_context.names.requestId, id);
     if (status == 503)
-        response.message.set(http::bhttp::field::retry_after, "1");
+        response.message.set(
+            http::bhttp::field::retry_after, fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
     response.message.body() = reason + "\n";
     response.message.content_length(response.message.body().size());
     response.closesConnection = true;
@@ -230,6 +242,15 @@
     queueResponse(exchange, std::move(response));
 }
 
+// Rejects the request that is being read. Its body is still read, so that the caller can send it before it reads the
+// response.
+void CallerSession::rejectArrivingRequest()
+{
+    if (m_arrivingRequest)
+        rejectUnread(
+            503, "the instance stops", std::string((*m_arrivingRequest)[m_context.names.requestId]), stopRetryAfter);
+}
+
 void CallerSession::startRequest(
     CallerRequest request, base::SteadyTime arrivedAt, std::unique_ptr<limits::MemoryReservation> memory)
 {
@@ -295,6 +316,9 @@
     m_writing = false;
     m_responsesSentTimer.cancel();
     http::error_code ec;
+    // A request that is still being read gets no further response.
+    if (m_lastResponseSent && m_arrivingRequest)
+        m_connection->socket().shutdown(http::tcp::socket::shutdown_send, ec);
     // Wakes the reader, which then applies the idle timeout or ends the connection.
     if (m_interruptible)
         m_connection->socket().cancel(ec);
@@ -443,6 +467,8 @@
         if (it->flow)
             it->flow->rejectIfWaiting();
     }
+    if (m_arrivingRequest && isTooLateInStop(m_context, *m_arrivingRequest, m_arrivingSince))
+        rejectArrivingRequest();
 }
 
 void CallerSession::endRequests()
@@ -451,6 +477,7 @@
         if (it->flow)
             it->flow->end();
     }
+    rejectArrivingRequest();
 }
 
 void CallerSession::resetUnfinishedStreams()
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -21,10 +21,11 @@
     /// needed; a busy one closes after its responses.
     void stop();
 
-    /// Called when requests that no target has received yet must be rejected, because the process stops.
+    /// Called when requests that no target has received yet, including one that is still arriving, must be rejected,
+    /// because the process stops.
     void rejectWaitingRequests();
 
-    /// Ends all requests in flight with their final response.
+    /// Ends all requests in flight with their final response and rejects one that is still arriving.
     void endRequests();
 
     /// Resets the connection if a long response is incomplete, because the process exits.
@@ -61,7 +62,9 @@
     void startRequest(
         CallerRequest request, base::SteadyTime arrivedAt, std::unique_ptr<limits::MemoryReservation> memory);
     void handleReadError(http::error_code ec);
-    void rejectUnread(unsigned status, const std::string& reason, const std::string& id = {});
+    void rejectUnread(unsigned status, const std::string& reason, const std::string& id = {},
+        std::chrono::milliseconds retryAfter = std::chrono::seconds(1));
+    void rejectArrivingRequest();
     void queueResponse(const std::shared_ptr<Exchange>& exchange, CallerResponse response);
     http::Awaitable<void> writeResponses();
     http::Awaitable<bool> writeResponse(Exchange& exchange, bool closesConnection);
@@ -84,6 +87,8 @@
     bool m_interruptible = false; ///< The reader waits for data and may be cancelled.
     bool m_callerDisconnected = false; ///< The connection failed or the caller closed it.
     bool m_reading = false; ///< A request has arrived in part.
+    const CallerRequest* m_arrivingRequest = nullptr; ///< Set while the body of a request is read.
+    base::SteadyTime m_arrivingSince; ///< When the first byte of `m_arrivingRequest` was received.
     bool m_idle = false; ///< The reader waits and no request is in flight.
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -25,9 +25,6 @@
     // Retry-After of a rejection for which the dispatch point gave no delay.
     constexpr milliseconds defaultRetryAfter { 500 };
 
-    // Retry-After of a stopping instance. Another instance can serve the request at once.
-    constexpr milliseconds stopRetryAfter { 100 };
-
     constexpr double maxRetryAfterFraction = 0.3; ///< Of the caller's remaining time.
 
     // Requests that arrive before the first routes and targets wait this long for them. An instance that has just
@@ -51,6 +48,28 @@
         return std::min(milliseconds(value), maxDeadline);
     }
 
+    const routing::HostRoute* lookUpRoute(const GatewaySnapshot& snapshot, const CallerRequest& request)
+    {
+        const auto host = request[http::bhttp::field::host];
+        const auto target = request.target();
+        return snapshot.routes->find(
+            std::string_view(host.data(), host.size()), std::string_view(target.data(), target.size()));
+    }
+
+    // Returns when the response to a request that matches `route` is due.
+    base::SteadyTime responseDueAt(const CallerRequest& request, const routing::HostRoute& route,
+        const HeaderNames& names, base::SteadyTime arrivedAt)
+    {
+        const auto timeLimit = std::min(parseDeadlineHeader(request, names).value_or(route.timeout), route.timeout);
+        return arrivedAt + timeLimit - responseMargin;
+    }
+
+    bool endsBeyondStop(const TrafficContext& context, base::SteadyTime deadline)
+    {
+        const auto& schedule = context.stopSchedule;
+        return schedule && context.clock.now() >= schedule->lastRequestAt && deadline > schedule->endsAt;
+    }
+
     // Reports the end of an attempt, which releases its slot, and what its target announced.
     void reportEnd(TrafficContext& context, const AttemptSlot& slot, const TargetAttempt& attempt)
     {
@@ -80,6 +99,15 @@
 
 } // namespace
 
+bool isTooLateInStop(const TrafficContext& context, const CallerRequest& request, base::SteadyTime arrivedAt)
+{
+    if (!context.stopSchedule)
+        return false;
+    const auto snapshot = context.snapshots.read();
+    const auto* route = snapshot->isComplete() ? lookUpRoute(*snapshot, request) : nullptr;
+    return route && endsBeyondStop(context, responseDueAt(request, *route, context.names, arrivedAt));
+}
+
 RequestFlow::RequestFlow(TrafficContext& context, CallerRequest request, base::SteadyTime arrivedAt,
     std::unique_ptr<limits::MemoryReservation> memory)
     : m_context(context)
@@ -134,15 +162,10 @@
     m_snapshot = m_context.snapshots.read();
     if (!m_snapshot->isComplete())
         return reject(503, "there are no routes yet");
-    const auto target = m_request.target();
-    m_route = m_snapshot->routes->find(
-        std::string_view(m_request[http::bhttp::field::host].data(), m_request[http::bhttp::field::host].size()),
-        std::string_view(target.data(), target.size()));
+    m_route = lookUpRoute(*m_snapshot, m_request);
     if (!m_route)
         return reject(404, "no route matches");
-    const auto timeLimit
-        = std::min(parseDeadlineHeader(m_request, m_context.names).value_or(m_route->timeout), m_route->timeout);
-    m_deadline = m_arrivedAt + timeLimit - responseMargin;
+    m_deadline = responseDueAt(m_request, *m_route, m_context.names, m_arrivedAt);
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
     if (isTooLateInStop())
         return reject(503, "the instance stops");
@@ -153,8 +176,7 @@
 // Whether the process may end while a target still runs the request, if it is passed on now.
 bool RequestFlow::isTooLateInStop() const
 {
-    const auto& schedule = m_context.stopSchedule;
-    return schedule && m_context.clock.now() >= schedule->lastRequestAt && m_deadline > schedule->endsAt;
+    return endsBeyondStop(m_context, m_deadline);
 }
 
 // Whether no target has received the request, except for targets that did not run it.
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -31,6 +31,13 @@
     std::uint64_t grant = 0;
 };
 
+/// Retry-After of a stopping instance. Another instance can serve the request at once.
+constexpr std::chrono::milliseconds stopRetryAfter { 100 };
+
+/// Whether it is too late in a stop to pass on the request, which has been arriving since `arrivedAt`: its deadline
+/// lies beyond the end of the process. Its body may be incomplete.
+bool isTooLateInStop(const TrafficContext& context, const CallerRequest& request, base::SteadyTime arrivedAt);
+
 /// Processes one request: finds the route, requests slots, runs attempts and returns the response. Runs on the traffic
 /// thread.
 class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -390,6 +390,114 @@
     BOOST_TEST(caller->readMessage().ends_with("body 1"));
 }
 
+namespace {
+
+/// Calls `change` for each session on the traffic thread, after the stop of the process was scheduled.
+void stopSessions(FlowFixture& fixture, std::chrono::milliseconds endsIn, void (gateway::CallerSession::*change)())
+{
+    std::promise<void> done;
+    http::asio::post(fixture.io, [&] {
+        const auto now = fixture.clock.now();
+        fixture.context.stopping = true;
+        fixture.context.stopSchedule = { now, now, now + endsIn };
+        for (const auto& it : fixture.sessions) {
+            if (const auto session = it.lock())
+                (*session.*change)();
+        }
+        done.set_value();
+    });
+    done.get_future().get();
+}
+
+/// Checks the rejection of a request that has not run because the process stops.
+void checkStopRejection(FlowFixture& fixture, const std::string& message, const std::string& id)
+{
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(headerOf(message, "Retry-After") == "0.100");
+    BOOST_TEST(headerOf(message, "Connection") == "close");
+    BOOST_TEST(headerOf(message, fixture.names.requestId) == id);
+}
+
+} // namespace
+
+// Guards against an upload that gets no response in a stop, or only after a wait for the rest of its body, and against
+// running it or a request inside its body.
+BOOST_FIXTURE_TEST_CASE(incompleteUploadIsRejectedWhenItIsTooLateInAStop, FlowFixture)
+{
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto caller = start();
+    const auto inner = request("2", "POST", "b");
+    const auto whole = request("1", "POST", inner + inner);
+    caller->send(whole.substr(0, whole.size() - inner.size()));
+    std::this_thread::sleep_for(50ms);
+    stopSessions(*this, 1000ms, &gateway::CallerSession::rejectWaitingRequests);
+    checkStopRejection(*this, caller->readMessage(), "1");
+    caller->send(inner + inner);
+    BOOST_TEST(caller->waitForPeerClose());
+    waitUntilDone();
+    BOOST_TEST(placement.slotRequests.empty());
+}
+
+// Guards against a caller that is told to send a body which will be rejected.
+BOOST_FIXTURE_TEST_CASE(uploadThatBeginsTooLateInAStopIsRejectedAtOnce, FlowFixture)
+{
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    context.stopping = true;
+    context.stopSchedule = { clock.now(), clock.now(), clock.now() + 1000ms };
+    const auto caller = start();
+    const auto whole = request("1", "POST", "body");
+    caller->send(whole.substr(0, whole.size() - 6) + "Expect: 100-continue\r\n\r\n");
+    checkStopRejection(*this, caller->readMessage(), "1");
+    BOOST_TEST(caller->waitForPeerClose());
+}
+
+// Guards against an upload that is cut at the end of a stop, or rejected although it could end before the process.
+BOOST_FIXTURE_TEST_CASE(uploadIsRejectedOnlyWhenItCannotEndBeforeTheProcess, FlowFixture)
+{
+    HeldTarget held(*this);
+    held.released = true;
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t" };
+    const auto caller = start();
+    const auto served = request("1", "POST", "body");
+    caller->send(served.substr(0, served.size() - 1));
+    const auto cut = connectCaller();
+    cut->send(request("2", "POST", "body").substr(0, served.size() - 1));
+    std::this_thread::sleep_for(50ms);
+    stopSessions(*this, 5000ms, &gateway::CallerSession::rejectWaitingRequests);
+    caller->send("y");
+    BOOST_TEST(caller->readMessage().ends_with("body 1"));
+    stopSessions(*this, 5000ms, &gateway::CallerSession::endRequests);
+    checkStopRejection(*this, cut->readMessage(), "2");
+    cut->close();
+    waitUntilDone();
+    BOOST_TEST(placement.slotRequests.size() == 1U);
+}
+
+// Guards against running an upload whose rejection waits for the response to an earlier request.
+BOOST_FIXTURE_TEST_CASE(rejectedUploadBehindAnotherRequestIsNotRun, FlowFixture)
+{
+    HeldTarget held(*this);
+    ports = { { "t", held.target.port() } };
+    publish(1, RequestKind::NonIdempotent, 2000ms);
+    placement.grants = { "t", "t" };
+    const auto caller = start();
+    caller->send(
+        request("1", "POST", "a") + request("2", "POST", "body").substr(0, request("2", "POST", "body").size() - 1));
+    held.waitForRequests(1);
+    std::this_thread::sleep_for(50ms);
+    stopSessions(*this, 1000ms, &gateway::CallerSession::rejectWaitingRequests);
+    caller->send("y");
+    std::this_thread::sleep_for(50ms);
+    held.released = true;
+    BOOST_TEST(caller->readMessage().ends_with("body 1"));
+    checkStopRejection(*this, caller->readMessage(), "2");
+    BOOST_TEST(caller->waitForPeerClose());
+    BOOST_TEST(held.requestCount == 1U);
+}
+
 // Guards against request bodies that fill the memory before their size is checked.
 BOOST_FIXTURE_TEST_CASE(bodiesBeyondTheMemoryBudgetAreRejected, FlowFixture)
 {
