--- a/tests/io/traffic_fixture.h
+++ b/tests/io/traffic_fixture.h
@@ -115,6 +115,17 @@
         m_descriptor = -1;
     }
 
+    /// Closes the connection with a TCP reset.
+    void reset()
+    {
+        const linger enabled { 1, 0 };
+        (void)::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &enabled, sizeof enabled);
+        close();
+    }
+
+    /// Sends no more, as `close` does, but still receives.
+    void closeSending() { (void)::shutdown(m_descriptor, SHUT_WR); }
+
 private:
     bool readMore()
     {
