Play store responses that break off at each byte

Nothing was seen. A response of the metadata store that ends inside its head must not count as an empty table or as a completed write.

Change: the registry client and the HTTP platform get responses cut at each byte, with a length, with chunks or (HTTP platform) ended by close. Only the whole response is a success.

--- a/tests/gateway/registry_client_test.cpp
+++ b/tests/gateway/registry_client_test.cpp
@@ -4,6 +4,7 @@
 #include "../../platform/documents.h"
 #include "../../platform/registry_client.h"
 #include "../../standins/registry_store.h"
+#include "../io/traffic_fixture.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -30,6 +31,18 @@
             version));
 }
 
+/// Runs the event loop until the call has completed, for at most 10 s, and returns the result.
+template <typename T> T run(http::asio::io_context& io, http::Awaitable<T> call)
+{
+    std::optional<T> result;
+    const auto wait = [&]() -> http::Awaitable<void> { result.emplace(co_await std::move(call)); };
+    http::asio::co_spawn(io, wait, http::asio::detached);
+    io.restart();
+    io.run_until(std::chrono::steady_clock::now() + 10s);
+    BOOST_REQUIRE(result.has_value());
+    return std::move(*result);
+}
+
 /// A registry client that is connected to an in-memory store.
 struct Fixture {
     Fixture()
@@ -37,17 +50,7 @@
     {
     }
 
-    /// Runs the event loop until the call has completed, for at most 10 s, and returns the result.
-    template <typename T> T run(http::Awaitable<T> call)
-    {
-        std::optional<T> result;
-        const auto wait = [&]() -> http::Awaitable<void> { result.emplace(co_await std::move(call)); };
-        http::asio::co_spawn(io, wait, http::asio::detached);
-        io.restart();
-        io.run_until(std::chrono::steady_clock::now() + 10s);
-        BOOST_REQUIRE(result.has_value());
-        return std::move(*result);
-    }
+    template <typename T> T run(http::Awaitable<T> call) { return ::run(io, std::move(call)); }
 
     RegistryStore store;
     http::asio::io_context io { 1 };
@@ -130,6 +133,33 @@
     BOOST_TEST(run(registry->readTargets()).has_value());
 }
 
+// Guards against a response that breaks off and counts as an empty table or as a completed write.
+BOOST_AUTO_TEST_CASE(partialResponsesOfTheStoreAreErrors)
+{
+    const std::string body = R"({"ver":1,"rows":[],"has_more":false})";
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    const auto length = head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto chunks
+        = head + "Transfer-Encoding: chunked\r\n\r\n" + fmt::format("{:x}\r\n", body.size()) + body + "\r\n0\r\n\r\n";
+    for (const auto& text : { length, chunks }) {
+        std::atomic<std::size_t> size { 0 };
+        test::RawTarget store([&](test::RawConnection& peer, unsigned) {
+            peer.readMessage();
+            peer.send(text.substr(0, size));
+        });
+        http::asio::io_context io { 1 };
+        const base::SystemClock clock;
+        const auto registry = platform::makeRegistry(io, clock, { "127.0.0.1", store.port() });
+        for (; size <= text.size(); ++size) {
+            const bool isWhole = size == text.size();
+            BOOST_TEST(run(io, registry->readRoutes()).has_value() == isWhole, size << " bytes of " << text);
+            BOOST_TEST(run(io, registry->waitForTargets(1, 0ms)).has_value() == isWhole, size << " bytes of " << text);
+            BOOST_TEST(run(io, registry->listPeers()).has_value() == isWhole, size << " bytes of " << text);
+            BOOST_TEST(run(io, registry->announce({})).has_value() == isWhole, size << " bytes of " << text);
+        }
+    }
+}
+
 // Guards against a write whose response was lost being reported as succeeded or failed: its outcome is unknown.
 BOOST_FIXTURE_TEST_CASE(lostResponseMeansOutcomeUnknown, Fixture)
 {
--- a/tests/io/http_platform_test.cpp
+++ b/tests/io/http_platform_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <buckthorncroft/store/http_platform.h>
 #include <buckthorncroft/store/platform_endpoint.h>
+#include <fmt/format.h>
 
 using namespace buckthorncroft;
 using namespace std::chrono_literals;
@@ -78,6 +79,24 @@
     BOOST_TEST((client.commit(oneRow, 5s).error().code == ErrorCode::Unavailable));
 }
 
+// Guards against a response that breaks off and counts as a completed write or as an empty table.
+BOOST_AUTO_TEST_CASE(partialResponsesAreErrors)
+{
+    for (const std::string body : { R"({"done":true})", R"({"rows":[]})", R"({"instances":[]})" }) {
+        const auto length = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+        const auto closeDelimited = fmt::format("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}", body);
+        for (const auto& text : { length, closeDelimited }) {
+            std::atomic<std::size_t> size { 0 };
+            OneShotServer server([&](auto& socket, const auto&) { tests::writeRaw(socket, text.substr(0, size)); });
+            store::HttpPlatform client("127.0.0.1", server.port());
+            for (; size <= text.size(); ++size) {
+                const bool isOk = client.commit(oneRow, 5s) || client.scan("", 10, 5s) || client.listInstances(5s);
+                BOOST_TEST(isOk == (size == text.size()), size << " bytes of " << text);
+            }
+        }
+    }
+}
+
 // Guards against a broken or truncated response, or one from another server, that counts as "not written", and against
 // a call that is sent twice.
 BOOST_AUTO_TEST_CASE(brokenResponsesLeaveTheOutcomeUnknown)
