Keep handling signals after SIGHUP with an unreadable settings file

After SIGHUP an instance stopped serving callers if its settings file was a pipe without a writer, since opening it blocked the traffic loop. If the file was a directory, the instance handled no further signal, so that SIGTERM did not stop it: reading threw an exception before the next signal was awaited.

Only regular files are read after SIGHUP, a file that cannot be read is reported as such, and the next signal is awaited before the current one is handled.

unreadableSettingsFilesNeitherBlockNorEndTheProcess failed before: the instance with the pipe did not respond, the one with the directory ignored SIGTERM. A missing and a broken file passed before and after.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fmt/format.h>
 #include <iostream>
 #include <unistd.h>
@@ -115,12 +116,12 @@
             m_signals.async_wait([this](http::error_code ec, int signal) {
                 if (ec)
                     return;
+                awaitSignal();
                 if (signal == SIGHUP)
                     checkSettingsFile();
                 else if (!m_context.stopping)
                     http::asio::co_spawn(
                         m_io, [this] { return stop(); }, http::asio::detached);
-                awaitSignal();
             });
         }
 
@@ -129,7 +130,14 @@
         void checkSettingsFile()
         {
             base::Findings findings;
-            const auto text = daemon::detail::readWholeFile(m_settingsFile, findings);
+            std::error_code ec;
+            const auto status = std::filesystem::status(m_settingsFile, ec);
+            std::string text;
+            // Opening a pipe would block the event loop until it has a writer.
+            if (std::filesystem::exists(status) && !std::filesystem::is_regular_file(status))
+                findings.push_back({ m_settingsFile, 0, "", "is not a regular file", "replace it by a file" });
+            else
+                text = daemon::detail::readWholeFile(m_settingsFile, findings);
             if (findings.empty())
                 findings = parseGatewaySettings(text, m_settingsFile).findings;
             for (const auto& it : findings)
--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -184,9 +184,9 @@
     std::vector<std::uint16_t> callerPorts; ///< By number of the instance.
     std::vector<std::uint16_t> readyPorts; ///< By number of the instance.
 
-private:
     std::string settingsFile(std::size_t n) const { return fmt::format("{}/g{}.toml", m_directory, n); }
 
+private:
     std::unique_ptr<ChildProcess> startProcess(std::size_t n) const
     {
         return std::make_unique<ChildProcess>(std::vector<std::string> { program, settingsFile(n) });
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -6,6 +6,7 @@
 #include "gateway_fleet.h"
 
 #include <future>
+#include <sys/stat.h>
 
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
@@ -230,3 +231,40 @@
     BOOST_TEST(message.size() > body.size());
     BOOST_TEST(process(0).wait() == 0);
 }
+
+// Guards against a settings file that is missing, broken, a directory or a pipe without a writer, and that ends the
+// process after SIGHUP, blocks its traffic or keeps it from handling SIGTERM.
+BOOST_FIXTURE_TEST_CASE(unreadableSettingsFilesNeitherBlockNorEndTheProcess, Fleet)
+{
+    configure();
+    const std::vector<std::function<void(const std::string&)>> replacements {
+        [](const std::string&) {},
+        [](const std::string& name) { std::ofstream(name) << "instance = ["; },
+        [](const std::string& name) { std::filesystem::create_directory(name); },
+        [](const std::string& name) { ::mkfifo(name.c_str(), 0600); },
+    };
+    startReady(static_cast<unsigned>(replacements.size()));
+    for (std::size_t n = 0; n < replacements.size(); ++n) {
+        std::filesystem::remove(settingsFile(n));
+        replacements[n](settingsFile(n));
+        process(n).signal(SIGHUP);
+    }
+    std::this_thread::sleep_for(200ms);
+    for (std::size_t n = 0; n < replacements.size(); ++n) {
+        // A blocked process would not respond at all.
+        auto ready = std::async(std::launch::async, [&] { return waitForStatus(n, 200, 2s); });
+        if (ready.wait_for(3s) != std::future_status::ready) {
+            BOOST_ERROR("instance " << n << " is blocked after SIGHUP");
+            process(n).signal(SIGKILL);
+            continue;
+        }
+        BOOST_TEST(ready.get());
+        process(n).signal(SIGTERM);
+        const bool stopping = waitForStatus(n, 503, 2s);
+        BOOST_TEST(stopping, "instance " << n << " does not handle SIGTERM after SIGHUP");
+        if (!stopping)
+            process(n).signal(SIGKILL);
+    }
+    for (std::size_t n = 0; n < replacements.size(); ++n)
+        BOOST_TEST(process(n).wait() == 0);
+}
