Count a stop from the receipt of its signal

With a busy traffic loop, an instance passed requests on later than the bound that callers rely on, and could exceed its grace period, because the schedule of a stop counted from when the loop handled the signal.

Signals are received by an event loop and a thread of their own, which take the time and post the signal to the traffic loop. The schedule counts from that time, and the event stopping logs the delay as delay_ms.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -6,8 +6,8 @@
 #include "gateway_control.h"
 #include "gateway_traffic.h"
 #include "ready_endpoint.h"
+#include "signal_receiver.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -71,7 +71,8 @@
                 ConnectionPool(m_clock), std::mt19937_64(std::random_device {}()) }
             , m_traffic(m_context)
             , m_ready(m_io, [this](const std::string& path) { return respond(path); })
-            , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+            , m_signals(m_io, m_clock, m_log,
+                  [this](int signal, base::SteadyTime receivedAt) { handleSignal(signal, receivedAt); })
         {
         }
 
@@ -87,7 +88,6 @@
             m_traffic.start();
             http::asio::co_spawn(
                 m_io, [this] { return reportDroppedLines(); }, http::asio::detached);
-            awaitSignal();
             m_log.write(observe::Level::Info, "started", { { "callers", toString(m_settings.callers) } });
             runEventLoop(m_io, m_log, "traffic");
             m_control.stop();
@@ -111,18 +111,14 @@
             return { 404, "no such page\n" };
         }
 
-        void awaitSignal()
+        void handleSignal(int signal, base::SteadyTime receivedAt)
         {
-            m_signals.async_wait([this](http::error_code ec, int signal) {
-                if (ec)
-                    return;
-                awaitSignal();
-                if (signal == SIGHUP)
-                    checkSettingsFile();
-                else if (!m_context.stopping)
-                    http::asio::co_spawn(
-                        m_io, [this] { return stop(); }, http::asio::detached);
-            });
+            if (signal == SIGHUP) {
+                checkSettingsFile();
+            } else if (!m_context.stopping) {
+                http::asio::co_spawn(
+                    m_io, [this, receivedAt] { return stop(receivedAt); }, http::asio::detached);
+            }
         }
 
         // Only checks the settings file and logs its problems. Addresses cannot change while connections are open, and
@@ -162,12 +158,14 @@
             co_await timer.async_wait(http::captureError(ec));
         }
 
-        http::Awaitable<void> stop()
+        // The times of the schedule count from `startedAt`, when the signal was received.
+        http::Awaitable<void> stop(base::SteadyTime startedAt)
         {
-            const auto startedAt = m_clock.now();
             const auto deadline = startedAt + m_settings.gracePeriod - shutdownMargin;
             const auto exitAt = startedAt + m_settings.gracePeriod - exitMargin;
-            m_log.write(observe::Level::Info, "stopping", { { "active", std::to_string(m_context.activeRequests) } });
+            m_log.write(observe::Level::Info, "stopping",
+                { { "active", std::to_string(m_context.activeRequests) },
+                    { "delay_ms", std::to_string(duration_cast<milliseconds>(m_clock.now() - startedAt).count()) } });
             m_traffic.announceStop({ startedAt, startedAt + lastRequestDelay, deadline });
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
@@ -205,7 +203,7 @@
         TrafficContext m_context;
         GatewayTraffic m_traffic;
         ReadyEndpoint m_ready;
-        http::asio::signal_set m_signals;
+        SignalReceiver m_signals;
     };
 
     struct Options {
--- /dev/null
+++ b/src/gateway/signal_receiver.cpp
@@ -0,0 +1,37 @@
+#include "signal_receiver.h"
+
+#include "event_loop.h"
+
+#include <csignal>
+
+namespace buckthorncroft::gateway {
+
+SignalReceiver::SignalReceiver(
+    http::asio::io_context& target, const base::Clock& clock, const observe::Logger& log, Callback callback)
+    : m_target(target)
+    , m_clock(clock)
+    , m_callback(std::move(callback))
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+{
+    awaitSignal();
+    m_thread = std::thread([this, &log] { runEventLoop(m_io, log, "signals"); });
+}
+
+SignalReceiver::~SignalReceiver()
+{
+    m_io.stop();
+    m_thread.join();
+}
+
+void SignalReceiver::awaitSignal()
+{
+    m_signals.async_wait([this](http::error_code ec, int signal) {
+        if (ec)
+            return;
+        const auto receivedAt = m_clock.now();
+        awaitSignal();
+        http::asio::post(m_target, [this, signal, receivedAt] { m_callback(signal, receivedAt); });
+    });
+}
+
+} // namespace buckthorncroft::gateway
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE GatewayStop
 #include <boost/test/unit_test.hpp>
 
+#include "../../src/gateway/signal_receiver.h"
 #include "../io/traffic_fixture.h"
 #include "caller_connection.h"
 #include "gateway_fleet.h"
@@ -232,6 +233,41 @@
     BOOST_TEST(process(0).wait() == 0);
 }
 
+// Guards against a stop that counts from when a busy event loop handles the signal instead of from its receipt.
+BOOST_AUTO_TEST_CASE(busyEventLoopDoesNotDelayTheTimeOfASignal)
+{
+    const base::SystemClock clock;
+    const observe::Logger log(clock, "test", "z1", observe::Level::Error, stderr);
+    http::asio::io_context io { 1 };
+    base::SteadyTime receivedAt;
+    int received = 0;
+    gateway::SignalReceiver receiver(io, clock, log, [&](int signal, base::SteadyTime time) {
+        received = signal;
+        receivedAt = time;
+    });
+    const auto sentAt = clock.now();
+    ::kill(::getpid(), SIGTERM);
+    std::this_thread::sleep_for(500ms);
+    io.run();
+    BOOST_TEST(received == SIGTERM);
+    BOOST_TEST((receivedAt - sentAt < 250ms));
+}
+
+// Guards against SIGTERM that ends a process by the signal, or is ignored, because its event loop does not run yet.
+BOOST_FIXTURE_TEST_CASE(stopSignalDuringTheStartIsHandled, Fleet)
+{
+    configure();
+    for (std::size_t n = 0; n < 8; ++n) {
+        start();
+        // The kernel lists the signals that a process handles as a mask, bit 14 being SIGTERM.
+        const auto startedAt = Clock::now();
+        while (!(process(n).caughtSignals() >> (SIGTERM - 1) & 1) && Clock::now() - startedAt < startTimeout) { }
+        process(n).signal(SIGTERM);
+    }
+    for (std::size_t n = 0; n < 8; ++n)
+        BOOST_TEST(process(n).wait() == 0);
+}
+
 // Guards against a settings file that is missing, broken, a directory or a pipe without a writer, and that ends the
 // process after SIGHUP, blocks its traffic or keeps it from handling SIGTERM.
 BOOST_FIXTURE_TEST_CASE(unreadableSettingsFilesNeitherBlockNorEndTheProcess, Fleet)
--- a/tests/io/process_fleet.h
+++ b/tests/io/process_fleet.h
@@ -57,6 +57,18 @@
             ::kill(m_pid, number);
     }
 
+    /// Returns the mask of the signals for which the process has a handler, or 0 if it is not known.
+    std::uint64_t caughtSignals() const
+    {
+        std::ifstream file(fmt::format("/proc/{}/status", m_pid));
+        std::string word;
+        while (file >> word) {
+            if (word == "SigCgt:" && file >> word)
+                return std::stoull(word, nullptr, 16);
+        }
+        return 0;
+    }
+
     /// Waits for the end and returns the exit status, or -1 after an end by a signal.
     int wait()
     {
