--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -144,6 +144,9 @@
 
     ChildProcess& process(std::size_t n) { return *m_processes.at(n); }
 
+    /// Path of the settings file of an instance.
+    std::string settingsFile(std::size_t n) const { return fmt::format("{}/g{}.toml", m_directory, n); }
+
     /// Waits until the readiness endpoint of an instance returns `status`. Returns false after `timeout`.
     bool waitForStatus(std::size_t n, unsigned status, std::chrono::milliseconds timeout) const
     {
@@ -184,8 +187,6 @@
     std::vector<std::uint16_t> readyPorts; ///< By number of the instance.
 
 private:
-    std::string settingsFile(std::size_t n) const { return fmt::format("{}/g{}.toml", m_directory, n); }
-
     std::unique_ptr<ChildProcess> startProcess(std::size_t n) const
     {
         return std::make_unique<ChildProcess>(std::vector<std::string> { program, settingsFile(n) });
