Soak SIGHUP, new configurations and ended long polls in series beside the other faults

Cause: the soak played no planned work besides SIGTERM, and reported a request that an instance breaks off only if its connection ended without a response or it came late in a stop.

Change: three threads send SIGHUP in series (to stopping instances too), submit versions with timeouts from 2.6 to 4 s, and end the long polls of the store. Each has random numbers of its own, so the sequence of faults that a seed draws does not change; its timing does. The model reports a request that only sound targets ran and that ended without their response before the shortest timeout, unless the process was killed or paused or the last sixth of the grace period had begun. All former checks of promises remain. modelFindsEachBrokenPromise expected two cases to be allowed that the platform forbids: a response of the instance itself, or none, 100 ms after a sound target got the request, without a stop or 1 s after one. It now expects them to be reported, and has allowed cases at the end of the grace period in their place.

--- a/tests/soak/gateway_soak_test.cpp
+++ b/tests/soak/gateway_soak_test.cpp
@@ -71,7 +71,8 @@
 class Soak {
 public:
     explicit Soak(unsigned long seed)
-        : m_random(seed)
+        : m_seed(seed)
+        , m_random(seed)
     {
         for (unsigned n = 0; n < targetCount; ++n)
             m_targets.push_back(std::make_unique<FaultyTarget>(m_model));
@@ -79,14 +80,7 @@
         if (const char* program = std::getenv("SOAK_GATEWAY"))
             m_fleet->program = program;
         m_storeProxy = std::make_unique<test::SilencingProxy>(m_fleet->store.port());
-        m_fleet->store.put("op", "config",
-            platform::encodeBase64(
-                R"({"version":"00000002","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
-                "header_timeout":"3s","idle_timeout":"15s"},"listeners":[{"host":"h","rules":[
-                {"name":"safe","type":"safe","target_latency":"1s","priority":1,"match":{"prefix":"/safe/"},
-                "action":{"service":"s1","timeout":"3s","max_attempts":2}},
-                {"name":"once","type":"unsafe","target_latency":"1s","priority":1,"match":{"prefix":"/once/"},
-                "action":{"service":"s1","timeout":"3s","max_attempts":2}}]}],"clusters":[{"name":"s1"}]})"));
+        submitConfiguration(3000ms);
         for (unsigned n = 0; n < targetCount; ++n)
             m_fleet->listTarget(fmt::format("i-{}", n), m_targets[n]->port());
         for (unsigned n = 0; n < instanceCount; ++n) {
@@ -98,19 +92,25 @@
     }
     Soak(const Soak&) = delete;
     Soak& operator=(const Soak&) = delete;
-    ~Soak() { endCallers(); }
+    ~Soak()
+    {
+        endPlannedWork();
+        endCallers();
+    }
 
     /// Injects faults for `time` while callers send requests, then checks all promises.
     void run(std::chrono::seconds time)
     {
         for (unsigned n = 0; n < instanceCount * callersPerInstance; ++n)
             m_callers.emplace_back([this, n] { sendRequests(n); });
+        startPlannedWork();
         const auto end = Clock::now() + time;
         while (Clock::now() < end) {
             std::this_thread::sleep_for(milliseconds(draw(100, 700)));
             injectFault();
         }
         m_pending.clear(); // Waits for the end of all faults.
+        endPlannedWork();
         checkRecovery();
         endCallers();
         for (unsigned n = 0; n < instanceCount; ++n)
@@ -130,9 +130,73 @@
     static constexpr unsigned maxInstancesDown = 2;
     static constexpr auto recoveryBound = 15s;
 
-    unsigned long draw(unsigned long from, unsigned long to)
+    static unsigned long draw(std::mt19937_64& random, unsigned long from, unsigned long to)
+    {
+        return std::uniform_int_distribution<unsigned long>(from, to)(random);
+    }
+
+    unsigned long draw(unsigned long from, unsigned long to) { return draw(m_random, from, to); }
+
+    void submitConfiguration(milliseconds timeout)
+    {
+        const auto rule = [&](const std::string& name, const std::string& kind) {
+            return fmt::format(
+                R"({{"name":"{0}","type":"{1}","target_latency":"1s","priority":1,"match":{{"prefix":"/{0}/"}},
+                "action":{{"service":"s1","timeout":"{2}ms","max_attempts":2}}}})",
+                name, kind, timeout.count());
+        };
+        m_fleet->store.put("op", "config",
+            platform::encodeBase64(fmt::format(
+                R"({{"version":"{:08x}","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,
+                "header_timeout":"3s","idle_timeout":"15s"}},"listeners":[{{"host":"h","rules":[{},{}]}}],
+                "clusters":[{{"name":"s1"}}]}})",
+                m_version++, rule("safe", "safe"), rule("once", "unsafe"))));
+    }
+
+    // Each kind of planned work has random numbers of its own, so that the faults of a seed do not depend on it.
+    void startPlannedWork()
+    {
+        repeatInSeries(1, [this](std::mt19937_64& random) { hangUp(draw(random, 0, instanceCount - 1)); });
+        repeatInSeries(2, [this](std::mt19937_64& random) {
+            submitConfiguration(milliseconds(draw(random, RequestModel::minTimeout.count(), 4000)));
+        });
+        repeatInSeries(3, [this](std::mt19937_64&) {
+            m_fleet->store.setFault(standin::StoreFault::DropsResponses);
+            std::this_thread::sleep_for(30ms);
+            m_fleet->store.setFault(standin::StoreFault::None);
+        });
+    }
+
+    template <typename Action> void repeatInSeries(unsigned stream, Action action)
+    {
+        m_plannedWork.emplace_back([this, stream, action] {
+            std::seed_seq seed { m_seed, static_cast<unsigned long>(stream) };
+            std::mt19937_64 random(seed);
+            while (!m_plannedWorkEnded) {
+                std::this_thread::sleep_for(milliseconds(draw(random, 100, 1500)));
+                const auto interval = milliseconds(draw(random, 1, 200));
+                for (auto n = draw(random, 1, 8); n != 0 && !m_plannedWorkEnded; --n) {
+                    action(random);
+                    std::this_thread::sleep_for(interval);
+                }
+            }
+        });
+    }
+
+    void endPlannedWork()
     {
-        return std::uniform_int_distribution<unsigned long>(from, to)(m_random);
+        m_plannedWorkEnded = true;
+        for (auto& it : m_plannedWork)
+            it.join();
+        m_plannedWork.clear();
+    }
+
+    // Until a process has set up its signal handlers, SIGHUP ends it. It listens only after that.
+    void hangUp(std::size_t n)
+    {
+        const std::lock_guard lock(m_processMutexes[n]);
+        if (test::get(m_fleet->readyPorts[n], test::names::readyPath).first != 0)
+            m_fleet->process(n).signal(SIGHUP);
     }
 
     void sendRequests(unsigned caller)
@@ -224,7 +288,10 @@
             checkStop(n, kill);
             std::this_thread::sleep_for(duration / 4);
             m_model.recordStart(n);
-            m_fleet->restart(n);
+            {
+                const std::lock_guard lock(m_processMutexes[n]);
+                m_fleet->restart(n);
+            }
             releaseInstance(n);
         });
     }
@@ -276,7 +343,9 @@
         }
     }
 
+    unsigned long m_seed;
     std::mt19937_64 m_random;
+    unsigned m_version = 2;
     Clock::time_point m_startedAt = Clock::now();
     RequestModel m_model { instanceCount };
     std::vector<std::unique_ptr<FaultyTarget>> m_targets;
@@ -285,8 +354,11 @@
     std::array<std::atomic<bool>, instanceCount> m_busy {}; ///< A fault of the instance is in effect.
     std::atomic<unsigned> m_down { 0 };
     std::atomic<bool> m_ended { false };
+    std::atomic<bool> m_plannedWorkEnded { false };
     std::mutex m_checkMutex;
+    std::array<std::mutex, instanceCount> m_processMutexes; ///< Locked while a process is replaced or gets SIGHUP.
     std::vector<std::thread> m_callers;
+    std::vector<std::thread> m_plannedWork;
     std::vector<std::future<void>> m_pending; ///< Faults that end by themselves.
 };
 
@@ -295,34 +367,47 @@
 // Guards against a check of the soak that cannot fail.
 BOOST_AUTO_TEST_CASE(modelFindsEachBrokenPromise)
 {
-    const auto count = [](bool mayRepeat, unsigned status, const std::string& body, unsigned executions,
-                           std::optional<milliseconds> stoppedBefore = {}) {
+    struct Request {
+        bool mayRepeat;
+        unsigned status;
+        std::string body;
+        unsigned executions;
+        std::optional<milliseconds> stoppedBefore = {};
+        milliseconds took = 100ms;
+        bool isHealthy = true;
+    };
+    const auto count = [](const Request& it) {
         RequestModel model(1);
         model.recordStart(0);
         const auto sentAt = Clock::now();
-        if (stoppedBefore)
-            model.changeRun(0, [&](ProcessRun& it) {
-                it.startedAt = sentAt - 10s;
-                it.stoppedAt = sentAt - *stoppedBefore;
+        if (it.stoppedBefore)
+            model.changeRun(0, [&](ProcessRun& run) {
+                run.startedAt = sentAt - 10s;
+                run.stoppedAt = sentAt - *it.stoppedBefore;
             });
-        for (unsigned n = 0; n < executions; ++n)
-            model.recordExecution("id", true);
-        model.recordCaller({ "id", mayRepeat, 0, sentAt, sentAt + 100ms, status, false, body });
+        for (unsigned n = 0; n < it.executions; ++n)
+            model.recordExecution("id", it.isHealthy);
+        model.recordCaller({ "id", it.mayRepeat, 0, sentAt, sentAt + it.took, it.status, false, it.body });
         return model.brokenPromises().size();
     };
-    BOOST_TEST(count(false, 200, "id", 1) == 0U);
-    BOOST_TEST(count(true, 200, "id", 2) == 0U);
-    BOOST_TEST(count(false, 503, "", 0) == 0U);
-    BOOST_TEST(count(false, 502, "", 1) == 0U);
-    BOOST_TEST(count(false, 0, "", 1, 1s) == 0U);
-    BOOST_TEST(count(false, 200, "id", 2) == 1U);
-    BOOST_TEST(count(true, 503, "", 1) == 1U);
-    BOOST_TEST(count(false, 200, "other", 1) == 1U);
-    BOOST_TEST(count(false, 200, "id", 0) == 1U);
-    BOOST_TEST(count(false, 0, "", 1) == 1U);
-    BOOST_TEST(count(false, 0, "", 1, 4s) == 1U);
-    BOOST_TEST(count(false, 502, "", 1, 1s) == 0U);
-    BOOST_TEST(count(false, 502, "", 1, 4s) == 1U);
+    BOOST_TEST(count({ false, 200, "id", 1 }) == 0U);
+    BOOST_TEST(count({ true, 200, "id", 2 }) == 0U);
+    BOOST_TEST(count({ false, 503, "", 0 }) == 0U);
+    BOOST_TEST(count({ false, 502, "", 1, {}, 100ms, false }) == 0U);
+    BOOST_TEST(count({ false, 504, "", 1, {}, RequestModel::minTimeout }) == 0U);
+    BOOST_TEST(count({ false, 0, "", 1, 2900ms, 2200ms }) == 0U);
+    BOOST_TEST(count({ false, 502, "", 1, 2900ms, 2200ms }) == 0U);
+    BOOST_TEST(count({ false, 200, "id", 2 }) == 1U);
+    BOOST_TEST(count({ true, 503, "", 1 }) == 1U);
+    BOOST_TEST(count({ false, 200, "other", 1 }) == 1U);
+    BOOST_TEST(count({ false, 200, "id", 0 }) == 1U);
+    BOOST_TEST(count({ false, 0, "", 1 }) == 1U);
+    BOOST_TEST(count({ false, 0, "", 1, 1s }) == 1U);
+    BOOST_TEST(count({ false, 0, "", 1, 4s }) == 1U);
+    BOOST_TEST(count({ false, 502, "", 1 }) == 1U);
+    BOOST_TEST(count({ false, 502, "", 1, 1s }) == 1U);
+    BOOST_TEST(count({ false, 502, "", 1, 4s }) == 1U);
+    BOOST_TEST(count({ false, 0, "", 1, 4s, 1500ms, false }) == 1U);
 }
 
 // Plays random faults against real processes. SOAK_SEED chooses the faults, SOAK_SECONDS the duration, and SOAK_GATEWAY
--- a/tests/soak/request_model.h
+++ b/tests/soak/request_model.h
@@ -48,8 +48,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_executions[id];
-        if (isHealthy)
-            m_healthyExecutions.insert(id);
+        (isHealthy ? m_healthyExecutions : m_faultyExecutions).insert(id);
     }
 
     void recordCaller(CallerRecord record)
@@ -98,14 +97,21 @@
                 report("response of another request");
             if (it.status == 0 && !it.brokenOff && executions != 0 && !mayBeCutOff(it))
                 report("run, and its connection ended without a response");
-            if (it.status == 502 && m_healthyExecutions.contains(it.id) && cameLateInStop(it))
+            else if (it.status == 502 && m_healthyExecutions.contains(it.id) && cameLateInStop(it))
                 report("accepted late in a stop, and cut off at its end");
+            else if (it.status != 200 && !promisesNotRun(it.status) && executions != 0
+                && !m_faultyExecutions.contains(it.id) && !mayBeBrokenOff(it))
+                report("broken off while sound targets worked on it");
         }
         return result;
     }
 
     /// Requests that an instance receives until then after SIGTERM may be cut off at its end.
     static constexpr std::chrono::seconds lastRequestBound { 3 };
+    static constexpr std::chrono::seconds lastSixthOfGrace { 5 }; ///< From SIGTERM to its begin.
+
+    static constexpr std::chrono::milliseconds minTimeout { 2600 }; ///< Shortest timeout of a route.
+    static constexpr std::chrono::milliseconds timeoutSlack { 100 };
 
 private:
     static bool promisesNotRun(unsigned status)
@@ -139,9 +145,20 @@
         return run->stoppedAt && *run->stoppedAt <= record.endedAt && !cameLateInStop(record);
     }
 
+    bool mayBeBrokenOff(const CallerRecord& record) const
+    {
+        const auto* run = runOf(record);
+        if (!run || run->paused || record.endedAt - record.sentAt >= minTimeout - timeoutSlack)
+            return true;
+        if (run->killedAt && *run->killedAt <= record.endedAt)
+            return true;
+        return run->stoppedAt && record.endedAt >= *run->stoppedAt + lastSixthOfGrace && !cameLateInStop(record);
+    }
+
     mutable std::mutex m_mutex;
     std::map<std::string, unsigned> m_executions; ///< By request id.
     std::set<std::string> m_healthyExecutions; ///< Request ids.
+    std::set<std::string> m_faultyExecutions; ///< Request ids.
     std::vector<CallerRecord> m_callers;
     std::vector<std::vector<ProcessRun>> m_runs; ///< By instance, oldest first.
 };
