Name the loop of the signals' callback, and end the late requests of a short grace period in time

Cause: found in a reading. A parameter named target was not a target. With a grace period below 3.3 s, requests were rejected only after the end of requests, that is never. connection_cut reported a rejected request as arriving.

Change: callbackLoop; the time of the last request is not later than the end of requests; a rejected request no longer counts as arriving.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -225,6 +225,7 @@
     if (m_closing)
         return;
     m_closing = true;
+    m_reading = false;
     CallerResponse response;
     response.message.result(status);
     if (!id.empty())
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -86,7 +86,7 @@
     bool m_lastResponseSent = false; ///< The response after which the connection closes was sent.
     bool m_interruptible = false; ///< The reader waits for data and may be cancelled.
     bool m_callerDisconnected = false; ///< The connection failed or the caller closed it.
-    bool m_reading = false; ///< A request has arrived in part.
+    bool m_reading = false; ///< A request has arrived in part and is not rejected.
     const CallerRequest* m_arrivingRequest = nullptr; ///< Set while the body of a request is read.
     base::SteadyTime m_arrivingSince; ///< When the first byte of `m_arrivingRequest` was received.
     bool m_idle = false; ///< The reader waits and no request is in flight.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -166,7 +166,7 @@
             m_log.write(observe::Level::Info, "stopping",
                 { { "active", std::to_string(m_context.activeRequests) },
                     { "delay_ms", std::to_string(duration_cast<milliseconds>(m_clock.now() - startedAt).count()) } });
-            m_traffic.announceStop({ startedAt, startedAt + lastRequestDelay, deadline });
+            m_traffic.announceStop({ startedAt, std::min(startedAt + lastRequestDelay, deadline), deadline });
             m_control.announceStop();
             co_await sleepUntil(std::min(startedAt + idleCloseDelay, deadline));
             m_traffic.closeKeptCallerConnections();
--- a/src/gateway/signal_receiver.cpp
+++ b/src/gateway/signal_receiver.cpp
@@ -7,8 +7,8 @@
 namespace buckthorncroft::gateway {
 
 SignalReceiver::SignalReceiver(
-    http::asio::io_context& target, const base::Clock& clock, const observe::Logger& log, Callback callback)
-    : m_target(target)
+    http::asio::io_context& callbackLoop, const base::Clock& clock, const observe::Logger& log, Callback callback)
+    : m_callbackLoop(callbackLoop)
     , m_clock(clock)
     , m_callback(std::move(callback))
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
@@ -30,7 +30,7 @@
             return;
         const auto receivedAt = m_clock.now();
         awaitSignal();
-        http::asio::post(m_target, [this, signal, receivedAt] { m_callback(signal, receivedAt); });
+        http::asio::post(m_callbackLoop, [this, signal, receivedAt] { m_callback(signal, receivedAt); });
     });
 }
 
--- a/src/gateway/signal_receiver.h
+++ b/src/gateway/signal_receiver.h
@@ -17,9 +17,9 @@
     /// Called with the signal and the time of its receipt.
     using Callback = std::function<void(int signal, base::SteadyTime receivedAt)>;
 
-    /// Posts calls of `callback` to `target`. The references must outlive this object.
+    /// Posts calls of `callback` to `callbackLoop`. The references must outlive this object.
     SignalReceiver(
-        http::asio::io_context& target, const base::Clock& clock, const observe::Logger& log, Callback callback);
+        http::asio::io_context& callbackLoop, const base::Clock& clock, const observe::Logger& log, Callback callback);
     SignalReceiver(const SignalReceiver&) = delete;
     SignalReceiver& operator=(const SignalReceiver&) = delete;
     ~SignalReceiver();
@@ -27,7 +27,7 @@
 private:
     void awaitSignal();
 
-    http::asio::io_context& m_target;
+    http::asio::io_context& m_callbackLoop;
     const base::Clock& m_clock;
     Callback m_callback;
     http::asio::io_context m_io { 1 };
