Move stand-ins of targets and connections out of the tests

Targets that send raw bytes or cut responses and a proxy that goes silent stood among them, although stand-ins have a folder of their own.

--- a/tests/gateway/silencing_proxy.h
+++ b/standins/silencing_proxy.h
@@ -11,7 +11,7 @@
 #include <thread>
 #include <unistd.h>
 
-namespace buckthorncroft::test {
+namespace buckthorncroft::standin {
 
 /// A TCP proxy to a port of this machine that can go silent: connections stay open, but their bytes are held back.
 class SilencingProxy {
@@ -108,4 +108,4 @@
     std::list<std::thread> m_connections;
 };
 
-} // namespace buckthorncroft::test
+} // namespace buckthorncroft::standin
--- a/tests/gateway/gateway_process_test.cpp
+++ b/tests/gateway/gateway_process_test.cpp
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE GatewayProcess
 #include <boost/test/unit_test.hpp>
 
+#include "../../standins/silencing_proxy.h"
 #include "gateway_fleet.h"
-#include "silencing_proxy.h"
 
 #include <list>
 
@@ -210,7 +210,7 @@
     constexpr unsigned instanceCount = 6;
     constexpr unsigned survivorCount = 4; // More than there are readers, so one of them is no reader.
     const Target target;
-    std::list<SilencingProxy> proxies;
+    std::list<standin::SilencingProxy> proxies;
     configure();
     listTarget("i-1", target);
     for (unsigned n = 0; n < instanceCount; ++n)
@@ -222,7 +222,7 @@
         unsigned n = 0;
         for (auto& it : proxies)
             it.setSilent(n++ != survivor);
-        std::this_thread::sleep_for(SilencingProxy::reactionTime);
+        std::this_thread::sleep_for(standin::SilencingProxy::reactionTime);
         configure("safe", 3 + survivor, survivor % 2 ? "/p/" : "/other/");
         std::this_thread::sleep_for(configurationBound);
         BOOST_TEST(send(survivor) == (survivor % 2 ? 200u : 404u));
--- a/tests/gateway/planned_work_test.cpp
+++ b/tests/gateway/planned_work_test.cpp
@@ -1,10 +1,10 @@
 #define BOOST_TEST_MODULE PlannedWork
 #include <boost/test/unit_test.hpp>
 
+#include "../../standins/silencing_proxy.h"
 #include "../io/traffic_fixture.h"
 #include "caller_connection.h"
 #include "gateway_fleet.h"
-#include "silencing_proxy.h"
 
 #include <array>
 #include <cmath>
@@ -317,7 +317,7 @@
     std::atomic<bool> m_ended { false };
     RawTarget m_target;
     Fleet m_fleet;
-    SilencingProxy m_storeProxy;
+    standin::SilencingProxy m_storeProxy;
     std::array<std::atomic<bool>, instanceCount> m_inRotation {};
     std::array<std::atomic<bool>, instanceCount> m_isListening {};
     std::mutex m_processMutex; ///< Locked while a process is replaced or gets SIGHUP.
--- a/tests/soak/gateway_soak_test.cpp
+++ b/tests/soak/gateway_soak_test.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE GatewaySoak
 #include <boost/test/unit_test.hpp>
 
-#include "../gateway/silencing_proxy.h"
+#include "../../standins/silencing_proxy.h"
 #include "faulty_target.h"
 
 #include <cstdlib>
@@ -79,7 +79,7 @@
         m_fleet = std::make_unique<test::Fleet>();
         if (const char* program = std::getenv("SOAK_GATEWAY"))
             m_fleet->program = program;
-        m_storeProxy = std::make_unique<test::SilencingProxy>(m_fleet->store.port());
+        m_storeProxy = std::make_unique<standin::SilencingProxy>(m_fleet->store.port());
         submitConfiguration(3000ms);
         for (unsigned n = 0; n < targetCount; ++n)
             m_fleet->listTarget(fmt::format("i-{}", n), m_targets[n]->port());
@@ -350,7 +350,7 @@
     RequestModel m_model { instanceCount };
     std::vector<std::unique_ptr<FaultyTarget>> m_targets;
     std::unique_ptr<test::Fleet> m_fleet;
-    std::unique_ptr<test::SilencingProxy> m_storeProxy;
+    std::unique_ptr<standin::SilencingProxy> m_storeProxy;
     std::array<std::atomic<bool>, instanceCount> m_busy {}; ///< A fault of the instance is in effect.
     std::atomic<unsigned> m_down { 0 };
     std::atomic<bool> m_ended { false };
