Leave a busy machine more time to end the process within the grace period

The log shows stopped 5.90 s after stopping each time. A caller that keeps its connection open after its last response holds the process until then.

Change: the process exits 0.25 s before the end of the grace period.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -44,7 +44,7 @@
     constexpr milliseconds shutdownMargin { 400 };
 
     // Reserved at the end of the grace period for the process to exit.
-    constexpr milliseconds exitMargin { 100 };
+    constexpr milliseconds exitMargin { 250 };
 
     // Interval between checks for requests in flight while the instance stops.
     constexpr milliseconds drainPollInterval { 50 };
