Count a stop from when its signal can have been sent

Cause: the schedule of a stop counted from the receipt of the signal. The schedule leaves 0.1 s between its last request (2.9 s) and the rule (3 s), so an instance that receives the signal later than that, because its machine has no processor time, passes on requests that it may not break off any more, and exceeds the grace period.

After a stall, a stop counts from the last time before it.

Evidence: stopCountsFromWhenItsSignalWasSent stops the process, sends SIGTERM and continues it 0.4 s later. Why it works: a signal that the thread sees after a stall was sent after the last check that did not see it.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -71,8 +71,8 @@
                 ConnectionPool(m_clock), std::mt19937_64(std::random_device {}()) }
             , m_traffic(m_context)
             , m_ready(m_io, [this](const std::string& path) { return respond(path); })
-            , m_signals(m_io, m_clock, m_log,
-                  [this](int signal, base::SteadyTime receivedAt) { handleSignal(signal, receivedAt); })
+            , m_signals(
+                  m_io, m_clock, m_log, [this](int signal, base::SteadyTime sentAt) { handleSignal(signal, sentAt); })
         {
         }
 
@@ -111,13 +111,13 @@
             return { 404, "no such page\n" };
         }
 
-        void handleSignal(int signal, base::SteadyTime receivedAt)
+        void handleSignal(int signal, base::SteadyTime sentAt)
         {
             if (signal == SIGHUP) {
                 checkSettingsFile();
             } else if (!m_context.stopping) {
                 http::asio::co_spawn(
-                    m_io, [this, receivedAt] { return stop(receivedAt); }, http::asio::detached);
+                    m_io, [this, sentAt] { return stop(sentAt); }, http::asio::detached);
             }
         }
 
@@ -158,7 +158,7 @@
             co_await timer.async_wait(http::captureError(ec));
         }
 
-        // The times of the schedule count from `startedAt`, when the signal was received.
+        // The times of the schedule count from `startedAt`, the earliest time at which the signal can have been sent.
         http::Awaitable<void> stop(base::SteadyTime startedAt)
         {
             const auto deadline = startedAt + m_settings.gracePeriod - shutdownMargin;
--- a/src/gateway/signal_receiver.cpp
+++ b/src/gateway/signal_receiver.cpp
@@ -12,8 +12,11 @@
     , m_clock(clock)
     , m_callback(std::move(callback))
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    , m_tickTimer(m_io)
+    , m_stalls(clock.now())
 {
     awaitSignal();
+    scheduleTick();
     m_thread = std::thread([this, &log] { runEventLoop(m_io, log, "signals"); });
 }
 
@@ -28,9 +31,20 @@
     m_signals.async_wait([this](http::error_code ec, int signal) {
         if (ec)
             return;
-        const auto receivedAt = m_clock.now();
+        const auto sentAt = m_stalls.earliestEventTime(m_clock.now());
         awaitSignal();
-        http::asio::post(m_callbackLoop, [this, signal, receivedAt] { m_callback(signal, receivedAt); });
+        http::asio::post(m_callbackLoop, [this, signal, sentAt] { m_callback(signal, sentAt); });
+    });
+}
+
+void SignalReceiver::scheduleTick()
+{
+    m_tickTimer.expires_after(StallDetector::tickInterval);
+    m_tickTimer.async_wait([this](http::error_code ec) {
+        if (ec)
+            return;
+        m_stalls.recordTick(m_clock.now());
+        scheduleTick();
     });
 }
 
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -79,6 +79,27 @@
     BOOST_TEST(process(0).wait() == 0);
 }
 
+// Guards against a stop that counts from the receipt of its signal on a machine that delays it, so that the instance
+// passes on requests which it breaks off later, and exceeds the grace period.
+BOOST_FIXTURE_TEST_CASE(stopCountsFromWhenItsSignalWasSent, Fleet)
+{
+    constexpr auto delay = 400ms;
+    const Target slow(2800ms);
+    configure("unsafe");
+    listTarget("i-1", slow);
+    startReady(1);
+    process(0).signal(SIGSTOP);
+    const auto sentAt = Clock::now();
+    process(0).signal(SIGTERM);
+    std::this_thread::sleep_for(delay);
+    process(0).signal(SIGCONT);
+    std::this_thread::sleep_until(sentAt + lastRequestBound + delay / 4);
+    BOOST_TEST(send(0) == 503u);
+    BOOST_TEST(slow.requestCount() == 0u);
+    BOOST_TEST(process(0).wait() == 0);
+    BOOST_TEST((Clock::now() - sentAt < grace));
+}
+
 // Guards against a queued request that a stopping instance passes on, or rejects only when its slot is granted.
 BOOST_FIXTURE_TEST_CASE(queuedRequestsAreRejectedLateInAStop, Fleet)
 {
