--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -35,6 +35,9 @@
     base::SteadyTime deadline; ///< A response after this time is of no use to the caller.
     std::vector<std::string> connectedTargets; ///< Targets to which the instance has an idle connection.
     std::vector<std::string> excluded; ///< Targets that must not receive this request.
+    std::string workspace; ///< Workspace of the caller; empty if it has none.
+    std::uint32_t requestBytes = 0; ///< Length of the body.
+    std::uint32_t responseBytes = 0; ///< Expected length of the response's body.
 };
 
 /// A slot that an instance uses. Instances repeat their slots, so that a new dispatch point receives the slots in use.
--- a/include/buckthorncroft/routing/route_table.h
+++ b/include/buckthorncroft/routing/route_table.h
@@ -28,6 +28,7 @@
     std::chrono::milliseconds latencyObjective { 1000 }; ///< Intended maximum latency; later responses count as late.
     unsigned maxAttempts = 2; ///< Maximum number of targets that one request is sent to.
     unsigned priority = 0; ///< 0 is the highest.
+    bool isPublic = false; ///< Requests need no key, even if the configuration has workspaces.
 };
 
 /// Limits on the size and duration of a caller's request.
@@ -44,12 +45,29 @@
     unsigned connectionLimit = 0; ///< Connections that one target accepts from all instances; 0 when not configured.
 };
 
+/// Maximum rate of requests of a workspace, over all instances.
+struct UsageCap {
+    double ratePerSecond = 0; ///< 0 if the rate is not limited.
+    double burst = 0; ///< Requests that may exceed the rate at once.
+
+    bool isLimited() const { return ratePerSecond > 0; }
+};
+
+/// A workspace: callers that share keys, a priority and a usage cap.
+struct Workspace {
+    std::string name;
+    std::vector<std::string> keys;
+    unsigned priority = 0; ///< Goes before the priority of the route; 0 is the highest.
+    UsageCap cap;
+};
+
 /// One version of the operator's route configuration. A higher version replaces a lower one completely.
 struct RouteSet {
     std::uint64_t version = 0;
     CallerLimits limits;
     std::vector<HostRoute> routes;
     std::vector<ServiceLimits> services;
+    std::vector<Workspace> workspaces; ///< If empty, requests need no key.
 };
 
 /// Finds routes by host and longest prefix. Immutable, so that threads may share it.
--- a/src/gateway/placement_codec.cpp
+++ b/src/gateway/placement_codec.cpp
@@ -36,6 +36,9 @@
         static_cast<std::int32_t>(duration_cast<milliseconds>(request.objectiveDeadline - now).count()));
     const auto remaining = duration_cast<milliseconds>(request.deadline - now).count();
     message.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, remaining)));
+    message.set_workspace(request.workspace);
+    message.set_request_bytes(request.requestBytes);
+    message.set_response_bytes(request.responseBytes);
     for (const auto& it : request.connectedTargets)
         message.add_warm(it);
     for (const auto& it : request.excluded)
@@ -60,6 +63,9 @@
     result.deadline = now + milliseconds(message.deadline_ms());
     result.connectedTargets.assign(message.warm().begin(), message.warm().end());
     result.excluded.assign(message.excluded().begin(), message.excluded().end());
+    result.workspace = message.workspace();
+    result.requestBytes = message.request_bytes();
+    result.responseBytes = message.response_bytes();
     return result;
 }
 
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -56,6 +56,24 @@
         = 0;
 };
 
+/// Whether a workspace may send another request now.
+struct Admission {
+    bool admitted = true;
+    std::chrono::milliseconds retryAfter { 0 }; ///< When the workspace may send again; 0 if the request is admitted.
+};
+
+/// Interface through which the traffic thread asks whether a request is within the usage cap of its workspace.
+class AdmissionService {
+public:
+    AdmissionService() = default;
+    AdmissionService(const AdmissionService&) = delete;
+    AdmissionService& operator=(const AdmissionService&) = delete;
+    virtual ~AdmissionService() = default;
+
+    /// Asks for admission of one request of a caller. `done` is called once, on the traffic thread.
+    virtual void admit(const std::string& workspace, std::function<void(const Admission&)> done) = 0;
+};
+
 /// The end of a process that stops. All times count from the stop signal.
 struct StopSchedule {
     base::SteadyTime startedAt; ///< The stop signal.
@@ -76,6 +94,7 @@
     limits::MemoryBudget& memory;
     ConnectionPool pool;
     std::mt19937_64 random;
+    AdmissionService* admission = nullptr; ///< Null if usage is not limited.
     TargetPauses pauses {}; ///< Targets that refuse requests of this instance.
     std::size_t activeRequests = 0; ///< Requests in flight.
     bool stopping = false; ///< Each response carries `Connection: close`.
