Require keys of workspaces and pass their names to targets

Cause: a configuration can contain workspaces (tenants) with keys, and public routes. Keys were neither decoded nor checked, callers could name any workspace to targets, and downloads were treated as non-idempotent.

Change: decode workspaces, `public` and downloads; rows and keys that are not valid are left out and counted in RouteSet::workspaceProblems. RequestFlow rejects requests without a valid key with 401 before it requests a slot, checks the usage cap once (429), looks the key up again before each attempt, sets the workspace header and removes Authorization. Slot requests carry the workspace, its priority and sizes. Trailers, which Beast adds to the headers, are dropped.

Other tests of the gateway have not been run yet.

--- a/include/buckthorncroft/routing/route_table.h
+++ b/include/buckthorncroft/routing/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <buckthorncroft/config/model.h>
+#include <buckthorncroft/routing/key_directory.h>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -11,6 +12,9 @@
 
 namespace buckthorncroft::routing {
 
+/// Lowest priority of a route or a workspace; 0 is the highest.
+constexpr unsigned lowestPriority = 1000;
+
 /// A service that a route sends requests to, and its weight among the services of the route.
 struct WeightedService {
     std::string service;
@@ -56,18 +60,34 @@
 /// A workspace: callers that share keys, a priority and a usage cap.
 struct Workspace {
     std::string name;
-    std::vector<std::string> keys;
+    std::vector<KeyDigest> keys; ///< Empty in a `RouteTable`, which moves them to its directory.
     unsigned priority = 0; ///< Goes before the priority of the route; 0 is the highest.
     UsageCap cap;
 };
 
+/// Workspaces and keys that were left out of a `RouteSet`, because they are not valid.
+struct WorkspaceProblems {
+    std::size_t workspaces = 0;
+    std::size_t keys = 0;
+    std::vector<std::string> reasons; ///< Of the first `maxReasons`, without keys.
+
+    static constexpr std::size_t maxReasons = 10;
+
+    bool isEmpty() const { return workspaces == 0 && keys == 0; }
+};
+
 /// One version of the operator's route configuration. A higher version replaces a lower one completely.
 struct RouteSet {
     std::uint64_t version = 0;
     CallerLimits limits;
     std::vector<HostRoute> routes;
     std::vector<ServiceLimits> services;
-    std::vector<Workspace> workspaces; ///< If empty, requests need no key.
+    std::vector<Workspace> workspaces; ///< If there are none, requests need no key.
+    WorkspaceProblems workspaceProblems;
+
+    /// Whether requests of routes that are not public need a key. Workspaces that were left out count, so that an error
+    /// in the configuration does not open routes to everyone.
+    bool requiresKeys() const { return !workspaces.empty() || workspaceProblems.workspaces > 0; }
 };
 
 /// Finds routes by host and longest prefix. Immutable, so that threads may share it.
@@ -79,17 +99,31 @@
     /// `host` and the query of `path` are ignored.
     const HostRoute* find(std::string_view host, std::string_view path) const;
 
+    /// Returns the workspace that holds the key with this digest, or null.
+    const Workspace* findWorkspace(const KeyDigest& key) const;
+
     const RouteSet& routeSet() const { return m_routeSet; }
 
 private:
     RouteSet m_routeSet;
     std::unordered_map<std::string, std::vector<const HostRoute*>> m_byHost; ///< Longest prefix first.
+    KeyDirectory m_keys;
 };
 
 /// Chooses one of the services of the route with probability proportional to its weight. `draw` must be uniformly
 /// distributed in [0, 1).
 const std::string& chooseService(const HostRoute& route, double draw);
 
+/// Combines the priorities of a workspace and of a route: the route decides among requests of equal workspaces.
+/// `workspace` and `route` must not exceed `lowestPriority`.
+constexpr unsigned combinedPriority(unsigned workspace, unsigned route)
+{
+    return workspace * (lowestPriority + 1) + route;
+}
+
+/// Returns the keys of all workspaces with the indexes of their owners.
+std::vector<KeyOwner> collectKeys(const std::vector<Workspace>& workspaces);
+
 /// Returns `host` in lower case and without its port.
 std::string normalizedHost(std::string_view host);
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -165,13 +165,20 @@
     m_arrivingSince = begin;
     if (!parser.is_done() && isTooLateInStop(m_context, parser.get(), begin))
         rejectArrivingRequest();
+    // The parser adds trailers to the headers, where they would pass for fields that were checked with the head.
+    std::optional<http::bhttp::request_header<>> head;
+    if (parser.get().chunked())
+        head = parser.get().base();
     const bool whole = co_await readBody(parser, *memory);
     m_arrivingRequest = nullptr;
     // The response that closes the connection may have been chosen while the body arrived.
     if (!whole || m_closing)
         co_return false;
     m_reading = false;
-    startRequest(parser.release(), begin, std::move(memory));
+    auto request = parser.release();
+    if (head)
+        request.base() = std::move(*head);
+    startRequest(std::move(request), begin, std::move(memory));
     co_return true;
 }
 
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -13,6 +13,8 @@
     std::string expectedTarget = "Buckthorncroft-Expected-Target"; ///< Id of the only target that may run the request.
     std::string notRun = "Buckthorncroft-Not-Run"; ///< Set by a target that did not run the request.
     std::string leaving = "Buckthorncroft-Leaving"; ///< Set to 1 by a target that leaves and accepts no new requests.
+    std::string workspace
+        = "Buckthorncroft-Workspace"; ///< Workspace of the caller, as the gateway found it by the key.
     std::string readyPath = "/ready"; ///< Path of the readiness check.
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,10 +1,12 @@
 #include "request_flow.h"
 
 #include "../http/framing.h"
+#include "key_digest.h"
 
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
+#include <limits>
 
 namespace buckthorncroft::gateway {
 
@@ -25,6 +27,7 @@
     // Retry-After of a rejection for which the dispatch point gave no delay.
     constexpr milliseconds defaultRetryAfter { 500 };
 
+    constexpr milliseconds minRetryAfter { 50 };
     constexpr double maxRetryAfterFraction = 0.3; ///< Of the caller's remaining time.
 
     // Requests that arrive before the first routes and targets wait this long for them. An instance that has just
@@ -32,6 +35,9 @@
     constexpr milliseconds routesTimeout { 600 };
     constexpr milliseconds routesCheckInterval { 20 };
 
+    // A usage cap that is not checked within this time counts as used up, and the caller may repeat the request then.
+    constexpr milliseconds admissionTimeout { 500 };
+
     // A longer deadline of a caller is shortened to this.
     constexpr milliseconds maxDeadline { 24 * 3'600'000 };
 
@@ -56,6 +62,19 @@
             std::string_view(host.data(), host.size()), std::string_view(target.data(), target.size()));
     }
 
+    // Returns the key in `Authorization: Bearer KEY`, or nothing if there is not exactly one such header.
+    std::string_view findKey(const CallerRequest& request)
+    {
+        if (request.count(http::bhttp::field::authorization) != 1)
+            return {};
+        const auto value = request[http::bhttp::field::authorization];
+        const auto end = std::min(value.find(' '), value.size());
+        if (!http::beast::iequals(value.substr(0, end), "bearer"))
+            return {};
+        const std::string_view rest(value.data() + end, value.size() - end);
+        return rest.substr(std::min(rest.find_first_not_of(' '), rest.size()));
+    }
+
     // Returns when the response to a request that matches `route` is due.
     base::SteadyTime responseDueAt(const CallerRequest& request, const routing::HostRoute& route,
         const HeaderNames& names, base::SteadyTime arrivedAt)
@@ -131,6 +150,8 @@
     if (auto response = findRoute())
         co_return std::move(*response);
     prepareForwardedRequest();
+    if (auto response = co_await waitForAdmission())
+        co_return std::move(*response);
     std::optional<CallerResponse> response;
     std::string problem;
     try {
@@ -165,6 +186,8 @@
     m_route = lookUpRoute(*m_snapshot, m_request);
     if (!m_route)
         return reject(404, "no route matches");
+    if (auto response = findWorkspace())
+        return response;
     m_deadline = responseDueAt(m_request, *m_route, m_context.names, m_arrivedAt);
     m_objectiveDeadline = m_arrivedAt + m_route->latencyObjective;
     if (isTooLateInStop())
@@ -173,6 +196,64 @@
     return std::nullopt;
 }
 
+// Finds the workspace by the key in the request. Returns a rejection if the route needs a key and this one is unknown.
+RequestFlow::MaybeResponse RequestFlow::findWorkspace()
+{
+    if (!m_snapshot->routes->routeSet().requiresKeys() || m_route->isPublic)
+        return std::nullopt;
+    const auto key = findKey(m_request);
+    if (key.empty())
+        return reject(401, "the request has no key");
+    m_key = digestOfKey(key);
+    m_workspace = m_snapshot->routes->findWorkspace(*m_key);
+    if (!m_workspace)
+        return reject(401, "the key is not known");
+    return std::nullopt;
+}
+
+// Whether the newest routes permit the request to be sent under its workspace.
+bool RequestFlow::mayStillUseKey() const
+{
+    const auto snapshot = m_context.snapshots.read();
+    if (!m_workspace || snapshot->routes == m_snapshot->routes || !snapshot->routes->routeSet().requiresKeys())
+        return true;
+    const auto* workspace = snapshot->routes->findWorkspace(*m_key);
+    return workspace && workspace->name == m_workspace->name;
+}
+
+// Waits until the request is known to be within the usage cap of its workspace. Returns a rejection if it is not, or
+// if the request ends first.
+http::Awaitable<RequestFlow::MaybeResponse> RequestFlow::waitForAdmission()
+{
+    if (!m_context.admission || !m_workspace || !m_workspace->cap.isLimited())
+        co_return std::nullopt;
+    const auto end = std::min(m_context.clock.now() + admissionTimeout, m_deadline);
+    m_context.admission->admit(m_workspace->name, [weak = weak_from_this()](const Admission& admission) {
+        if (const auto self = weak.lock()) {
+            self->m_admission = admission;
+            self->wake();
+        }
+    });
+    while (!m_admission && !m_callerDisconnected && !m_ending && !isTooLateInStop() && m_context.clock.now() < end) {
+        http::error_code ec;
+        m_timer.expires_at(end);
+        co_await m_timer.async_wait(http::captureError(ec));
+    }
+    if (m_callerDisconnected)
+        co_return reject(503, "the caller left");
+    if (m_ending || isTooLateInStop())
+        co_return reject(503, "the instance stops");
+    if (!m_admission) {
+        m_admission = Admission { false, admissionTimeout };
+        co_return reject(429, "the usage cap could not be checked");
+    }
+    if (!m_admission->admitted)
+        co_return reject(429, "the usage cap of the workspace is used up");
+    if (!mayStillUseKey())
+        co_return reject(401, "the key was withdrawn");
+    co_return std::nullopt;
+}
+
 // Whether the process may end while a target still runs the request, if it is passed on now.
 bool RequestFlow::isTooLateInStop() const
 {
@@ -192,6 +273,11 @@
     http::removeHopByHopHeaders(m_forwardedRequest->head);
     m_forwardedRequest->head.erase(http::bhttp::field::content_length);
     m_forwardedRequest->head.erase(http::bhttp::field::expect);
+    if (m_snapshot->routes->routeSet().requiresKeys())
+        m_forwardedRequest->head.erase(http::bhttp::field::authorization);
+    m_forwardedRequest->head.erase(m_context.names.workspace);
+    if (m_workspace)
+        m_forwardedRequest->head.set(m_context.names.workspace, m_workspace->name);
     m_forwardedRequest->hasBody = m_request.has_content_length() || m_request.chunked();
     m_forwardedRequest->body = std::move(m_request.body());
     m_forwardedRequest->id = m_id;
@@ -261,7 +347,11 @@
     query.service = m_service;
     auto& request = query.request;
     request.kind = m_route->kind;
-    request.priority = m_route->priority;
+    request.priority = routing::combinedPriority(m_workspace ? m_workspace->priority : 0, m_route->priority);
+    request.workspace = m_workspace ? m_workspace->name : "";
+    request.requestBytes = static_cast<std::uint32_t>(
+        std::min<std::size_t>(m_forwardedRequest->body.size(), std::numeric_limits<std::uint32_t>::max()));
+    request.responseBytes = m_context.responseSizes.estimate(m_route->name);
     request.attempt = m_attemptCount;
     request.objectiveDeadline = m_objectiveDeadline;
     request.deadline = m_deadline;
@@ -317,12 +407,13 @@
     const auto* entry = snapshot->targets->find(m_service, decision.target);
     const bool isTooLate = m_context.clock.now() >= m_deadline || (mayBeRejected() && isTooLateInStop());
     const bool isWanted = !m_callerDisconnected && !m_ending && !isTooLate;
-    if (isWanted && mayUse(entry)) {
+    const bool isPermitted = mayStillUseKey();
+    if (isWanted && isPermitted && mayUse(entry)) {
         startAttempt(slot, entry->record);
     } else {
         releaseSlot(m_context, m_service, m_route->kind, slot);
         m_excludedTargets.push_back(decision.target);
-        if (isWanted)
+        if (isWanted && isPermitted)
             requestSlot();
     }
     wake();
@@ -407,7 +498,7 @@
     const auto end = schedule ? std::min(m_deadline, schedule->endsAt) : m_deadline;
     if (end - m_context.clock.now() < minAttemptTime)
         return false;
-    return isIdempotent() || !m_mayHaveRun;
+    return (isIdempotent() || !m_mayHaveRun) && mayStillUseKey();
 }
 
 RequestFlow::MaybeResponse RequestFlow::retryOrFail()
@@ -416,6 +507,8 @@
         requestSlot();
         return std::nullopt;
     }
+    if (mayBeRejected() && !mayStillUseKey())
+        return reject(401, "the key was withdrawn");
     return fail(m_slotRefusal ? routing::toString(m_slotRefusal->refusal) : m_lastAttemptReason);
 }
 
@@ -463,6 +556,10 @@
             result.message.content_length(result.message.body().size());
         result.stream = std::move(stream);
     }
+    if (attempt.verdict() == Verdict::Good) {
+        const auto length = result.stream ? result.stream->length() : std::nullopt;
+        m_context.responseSizes.add(m_route->name, length.value_or(result.message.body().size()));
+    }
     recordResponse(status, attempt.reason());
     return result;
 }
@@ -475,16 +572,11 @@
     message.set(http::bhttp::field::content_type, "text/plain; charset=utf-8");
     if (!m_id.empty())
         message.set(m_context.names.requestId, m_id);
-    if (status == 503) {
-        const auto now = m_context.clock.now();
-        auto wait = m_ending || isTooLateInStop() ? stopRetryAfter : defaultRetryAfter;
-        if (m_slotRefusal && m_slotRefusal->retryAfter.count() > 0)
-            wait = m_slotRefusal->retryAfter;
-        wait = std::max(wait, duration_cast<milliseconds>(m_pauseEnd - now));
-        if (m_route)
-            wait = std::min(wait, duration_cast<milliseconds>((m_deadline - now) * maxRetryAfterFraction));
+    if (status == 401)
+        message.set(http::bhttp::field::www_authenticate, "Bearer");
+    if (status == 429 || status == 503) {
         message.set(http::bhttp::field::retry_after,
-            fmt::format("{:.3f}", std::chrono::duration<double>(std::max(milliseconds(50), wait)).count()));
+            fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter(status)).count()));
     }
     message.body() = reason + "\n";
     message.content_length(message.body().size());
@@ -493,6 +585,20 @@
     return result;
 }
 
+milliseconds RequestFlow::retryAfter(unsigned status) const
+{
+    const auto now = m_context.clock.now();
+    auto result = m_ending || isTooLateInStop() ? stopRetryAfter : defaultRetryAfter;
+    if (status == 429 && m_admission)
+        result = m_admission->retryAfter;
+    else if (m_slotRefusal && m_slotRefusal->retryAfter.count() > 0)
+        result = m_slotRefusal->retryAfter;
+    result = std::max(result, duration_cast<milliseconds>(m_pauseEnd - now));
+    if (m_route)
+        result = std::min(result, duration_cast<milliseconds>((m_deadline - now) * maxRetryAfterFraction));
+    return std::max(minRetryAfter, result);
+}
+
 void RequestFlow::recordResponse(unsigned status, const std::string& reason)
 {
     const auto took = m_context.clock.now() - m_arrivedAt;
@@ -502,6 +608,7 @@
         "buckthorncroft_request_seconds", { { "service", m_service } }, std::chrono::duration<double>(took).count());
     m_context.log.write(observe::Level::Info, "answered",
         { { "request", m_id }, { "service", m_service }, { "route", m_route ? m_route->name : "" },
+            { "workspace", m_workspace ? m_workspace->name : "" }, { "key", m_key ? routing::shortText(*m_key) : "" },
             { "routes_version",
                 m_snapshot && m_snapshot->routes ? std::to_string(m_snapshot->routes->routeSet().version) : "0" },
             { "status", std::to_string(status) }, { "attempts", std::to_string(m_attemptCount) },
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -78,6 +78,9 @@
 
     http::Awaitable<void> waitForRoutes();
     MaybeResponse findRoute();
+    MaybeResponse findWorkspace();
+    http::Awaitable<MaybeResponse> waitForAdmission();
+    bool mayStillUseKey() const;
     void prepareForwardedRequest();
     http::Awaitable<CallerResponse> runAttempts();
     MaybeResponse step();
@@ -92,6 +95,7 @@
     MaybeResponse fail(const std::string& reason);
     CallerResponse relay(TargetAttempt& attempt, std::shared_ptr<StreamedBody> stream = nullptr);
     CallerResponse reject(unsigned status, const std::string& reason);
+    std::chrono::milliseconds retryAfter(unsigned status) const;
     bool isTooLateInStop() const;
     bool mayBeRejected() const;
     void reportAttempt(RunningAttempt& it);
@@ -112,6 +116,9 @@
     base::SteadyTime m_objectiveDeadline; ///< A later response misses the latency objective.
     std::shared_ptr<const GatewaySnapshot> m_snapshot; ///< Taken when the route was looked up; owns `m_route`.
     const routing::HostRoute* m_route = nullptr;
+    std::optional<routing::KeyDigest> m_key; ///< Digest of the caller's key, if requests need one.
+    const routing::Workspace* m_workspace = nullptr; ///< Null if the request needs no key; owned by `m_snapshot`.
+    std::optional<Admission> m_admission; ///< Set once the usage cap has been checked.
     std::string m_service;
     std::string m_id;
     std::shared_ptr<ForwardedRequest> m_forwardedRequest;
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -3,6 +3,7 @@
 #include "connection_pool.h"
 #include "header_names.h"
 #include "placement_client.h"
+#include "response_sizes.h"
 #include "target_pauses.h"
 
 #include <atomic>
@@ -96,6 +97,7 @@
     std::mt19937_64 random;
     AdmissionService* admission = nullptr; ///< Null if usage is not limited.
     TargetPauses pauses {}; ///< Targets that refuse requests of this instance.
+    ResponseSizes responseSizes {}; ///< Of successful responses.
     std::size_t activeRequests = 0; ///< Requests in flight.
     bool stopping = false; ///< Each response carries `Connection: close`.
     std::optional<StopSchedule> stopSchedule {}; ///< Set while the process stops.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -17,7 +17,10 @@
 
 RouteTable::RouteTable(RouteSet routes)
     : m_routeSet(std::move(routes))
+    , m_keys(collectKeys(m_routeSet.workspaces))
 {
+    for (auto& it : m_routeSet.workspaces)
+        it.keys = {};
     for (const auto& it : m_routeSet.routes)
         m_byHost[normalizedHost(it.host)].push_back(&it);
     for (auto& [host, hostRoutes] : m_byHost) {
@@ -39,6 +42,22 @@
     return nullptr;
 }
 
+const Workspace* RouteTable::findWorkspace(const KeyDigest& key) const
+{
+    const auto index = m_keys.find(key);
+    return index ? &m_routeSet.workspaces[*index] : nullptr;
+}
+
+std::vector<KeyOwner> collectKeys(const std::vector<Workspace>& workspaces)
+{
+    std::vector<KeyOwner> result;
+    for (std::uint32_t n = 0; n < workspaces.size(); ++n) {
+        for (const auto& it : workspaces[n].keys)
+            result.push_back({ it, n });
+    }
+    return result;
+}
+
 const std::string& chooseService(const HostRoute& route, double draw)
 {
     const double total = std::accumulate(route.services.begin(), route.services.end(), 0.0,
--- a/tests/gateway/documents_test.cpp
+++ b/tests/gateway/documents_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../../platform/documents.h"
+#include "../../src/gateway/key_digest.h"
 
 #include <rapidcheck.h>
 
@@ -21,6 +22,11 @@
     "clusters":[{"name":"s1","health_path":"/health","max_conns":390,"protocol":"h1","tls":false}],
     "unknown":{"later":true}})";
 
+constexpr const char* configurationWithWorkspaces = R"({"version":"0000000d","listeners":[{"host":"a.example","rules":[
+        {"name":"r1","type":"download","public":true,"match":{"prefix":"/p/"},"action":{"service":"s1"}}]}],"clusters":[],
+    "tenants":[{"name":"w1","api_keys":["key-one","key-two"],"priority":3,"rate_per_s":36.5,"burst":7},
+               {"name":"w2","api_keys":["key-three"]}]})";
+
 constexpr const char* entry = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":3,
     "state":"ready","cold_remaining":"1500ms","seq":4,"born":1790000000000})";
 
@@ -55,6 +61,108 @@
     BOOST_TEST((routes.routes[1].kind == config::RequestKind::NonIdempotent));
 }
 
+// Guards against keys, priorities or usage caps that are lost in decoding, and against the repetition of a download
+// being refused.
+BOOST_AUTO_TEST_CASE(workspacesAreDecodedCompletely)
+{
+    const routing::RouteTable table(platform::decodeRoutes(configurationWithWorkspaces));
+    BOOST_TEST((table.routeSet().routes[0].kind == config::RequestKind::Idempotent));
+    BOOST_TEST(table.routeSet().routes[0].isPublic);
+    BOOST_TEST(table.routeSet().workspaceProblems.isEmpty());
+    const auto* first = table.findWorkspace(gateway::digestOfKey("key-two"));
+    BOOST_REQUIRE(first);
+    BOOST_TEST(first->name == "w1");
+    BOOST_TEST(first->priority == 3u);
+    BOOST_TEST(first->cap.ratePerSecond == 36.5);
+    BOOST_TEST(first->cap.burst == 7);
+    const auto* second = table.findWorkspace(gateway::digestOfKey("key-three"));
+    BOOST_REQUIRE(second);
+    BOOST_TEST(second->name == "w2");
+    BOOST_TEST(!second->cap.isLimited());
+    BOOST_TEST(!table.findWorkspace(gateway::digestOfKey("key-thre")));
+    BOOST_TEST(!platform::decodeRoutes(configuration).requiresKeys());
+}
+
+// Guards against a fault in one workspace or key that affects others, that passes unnoticed, or whose report contains
+// a key.
+BOOST_AUTO_TEST_CASE(invalidWorkspacesAndKeysAreLeftOut)
+{
+    struct Change {
+        std::string from, to;
+        std::size_t workspaces, keys;
+    };
+    const std::vector<Change> changes { { "\"w1\"", "7", 1, 0 }, { "\"w1\"", "\"\"", 1, 0 },
+        { "\"w1\"", "\"a\\r\\nb\"", 1, 0 }, { "\"w1\"", "\"" + std::string(201, 'w') + "\"", 1, 0 },
+        { "\"name\":\"w1\",", "", 1, 0 }, { "[\"key-one\",\"key-two\"]", "\"key-one\"", 1, 0 },
+        { "\"priority\":3", "\"priority\":-1", 1, 0 }, { "\"priority\":3", "\"priority\":1001", 1, 0 },
+        { "36.5", "\"36.5\"", 1, 0 }, { "36.5", "-1", 1, 0 }, { "36.5", "1e300", 1, 0 },
+        { "\"burst\":7", "\"burst\":null", 1, 0 }, { "\"key-one\"", "null", 0, 1 }, { "\"key-one\"", "\"\"", 0, 1 },
+        { "\"key-one\"", "\"a b\"", 0, 1 }, { "\"key-one\"", "\"" + std::string(513, 'k') + "\"", 0, 1 },
+        { "\"key-one\"", "\"key-two\"", 0, 0 } };
+    for (const auto& it : changes) {
+        BOOST_TEST_CONTEXT(it.from << " replaced by " << it.to)
+        {
+            const routing::RouteTable table(
+                platform::decodeRoutes(replaceFirst(configurationWithWorkspaces, it.from, it.to)));
+            const auto& problems = table.routeSet().workspaceProblems;
+            BOOST_TEST(problems.workspaces == it.workspaces);
+            BOOST_TEST(problems.keys == it.keys);
+            BOOST_TEST(problems.reasons.size() == it.workspaces + it.keys);
+            for (const auto& reason : problems.reasons)
+                BOOST_TEST(reason.find("key-") == std::string::npos);
+            BOOST_TEST(table.routeSet().requiresKeys());
+            BOOST_TEST((table.findWorkspace(gateway::digestOfKey("key-two")) != nullptr) == (it.workspaces == 0));
+            const auto* other = table.findWorkspace(gateway::digestOfKey("key-three"));
+            BOOST_TEST((other && other->name == "w2"));
+        }
+    }
+}
+
+// Guards against requests without a key being served because no workspace of the configuration is valid.
+BOOST_AUTO_TEST_CASE(invalidWorkspacesStillRequireKeys)
+{
+    const auto isolated = [](const std::string& tenants) {
+        const auto rows = std::string(configurationWithWorkspaces).find("\"tenants\"");
+        return std::string(configurationWithWorkspaces).substr(0, rows) + "\"tenants\":" + tenants + "}";
+    };
+    BOOST_TEST(platform::decodeRoutes(isolated("[null]")).requiresKeys());
+    BOOST_CHECK_THROW(platform::decodeRoutes(isolated("null")), std::exception);
+    BOOST_CHECK_THROW(platform::decodeRoutes(isolated("{}")), std::exception);
+    BOOST_TEST(!platform::decodeRoutes(isolated("[]")).requiresKeys());
+}
+
+// Guards against two workspaces that targets and usage caps cannot tell apart.
+BOOST_AUTO_TEST_CASE(secondWorkspaceOfANameIsLeftOut)
+{
+    const routing::RouteTable table(
+        platform::decodeRoutes(replaceFirst(configurationWithWorkspaces, "\"w2\"", "\"w1\"")));
+    BOOST_TEST(table.routeSet().workspaceProblems.workspaces == 1u);
+    BOOST_TEST(table.findWorkspace(gateway::digestOfKey("key-two")));
+    BOOST_TEST(!table.findWorkspace(gateway::digestOfKey("key-three")));
+}
+
+// Guards against a key that passes to another workspace because both name it.
+BOOST_AUTO_TEST_CASE(firstOwnerKeepsAKey)
+{
+    const routing::RouteTable table(
+        platform::decodeRoutes(replaceFirst(configurationWithWorkspaces, "\"key-three\"", "\"key-one\"")));
+    BOOST_TEST(table.findWorkspace(gateway::digestOfKey("key-one"))->name == "w1");
+    BOOST_TEST(table.routeSet().workspaceProblems.keys == 1u);
+    BOOST_TEST(table.routeSet().workspaceProblems.reasons.at(0).find("key-one") == std::string::npos);
+}
+
+// Guards against a key in the log: the parser's own message quotes the text at the error.
+BOOST_AUTO_TEST_CASE(errorOfAnIncompleteDocumentQuotesNoKey)
+{
+    const std::string whole = configurationWithWorkspaces;
+    try {
+        platform::decodeRoutes(whole.substr(0, whole.find("key-one") + 5));
+        BOOST_FAIL("the document was accepted");
+    } catch (const std::exception& error) {
+        BOOST_TEST(std::string(error.what()).find("key-") == std::string::npos);
+    }
+}
+
 // Guards against partial use of an invalid configuration.
 BOOST_AUTO_TEST_CASE(invalidConfigurationIsRejected)
 {
--- a/tests/gateway/flow_fixture.h
+++ b/tests/gateway/flow_fixture.h
@@ -117,7 +117,9 @@
         route.kind = kind;
         route.services = { { "s", 1 } };
         route.timeout = timeout;
+        route.isPublic = isPublic;
         routes.routes.push_back(route);
+        routes.workspaces = workspaces;
         auto set = std::make_shared<membership::TargetSet>();
         for (const auto& [id, port] : ports) {
             membership::DirectoryEntry entry;
@@ -213,6 +215,8 @@
     gateway::TrafficContext context;
     std::chrono::milliseconds callerDeadline { 1500 }; ///< Sent with each request.
     std::map<std::string, std::uint16_t> ports; ///< Port of each target, by id.
+    std::vector<routing::Workspace> workspaces; ///< Published with the route.
+    bool isPublic = false; ///< Whether the route is public.
     std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
     std::thread thread;
 };
