--- a/include/buckthorncroft/membership/peer_ranking.h
+++ b/include/buckthorncroft/membership/peer_ranking.h
@@ -42,6 +42,9 @@
     /// Returns up to `count` available instances that follow the first one, without this instance.
     std::vector<std::string> successors(const std::string& key, std::size_t count, base::SteadyTime now);
 
+    /// Returns the number of instances that have not left, including this one and those that do not respond.
+    std::size_t memberCount() const;
+
 private:
     struct Peer {
         std::uint64_t incarnation = 0;
--- a/src/membership/peer_ranking.cpp
+++ b/src/membership/peer_ranking.cpp
@@ -121,4 +121,10 @@
     return result;
 }
 
+std::size_t PeerRanking::memberCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return !it.second.leaving; }));
+}
+
 } // namespace buckthorncroft::membership
