Ask the counting points for admission within the usage caps

The traffic thread needs to know whether a request is within the usage cap of its workspace, whichever instance the request arrives at.

UsageClient asks the counting point of the workspace's shard by datagram and runs the points for which this instance ranks first; GatewayControl implements AdmissionService with it. The protocol's balances are not used: a new point starts without tokens, so that no burst is granted twice.

Two real processes were not tested, because requests do not ask for admission yet.

--- a/src/gateway/gateway_control.cpp
+++ b/src/gateway/gateway_control.cpp
@@ -47,6 +47,7 @@
     , m_channel(m_io)
     , m_peers(settings, clock, m_channel, randomNumber())
     , m_placement(settings, clock, m_peers, log, randomNumber())
+    , m_usage(clock, m_peers, log, metrics, randomNumber())
     , m_relay(clock, m_peers)
     , m_registry(deployment.makeRegistry(m_io, clock, settings.registry))
     , m_watcher(m_io, clock, *m_registry, log, metrics, m_relay,
@@ -67,6 +68,7 @@
     handlers.onRoutes = [this](std::shared_ptr<const routing::RouteTable> routes) {
         m_routes = std::move(routes);
         m_peers.setRouteVersion(m_routes->routeSet().version);
+        m_usage.setWorkspaces(m_routes->routeSet().workspaces);
         publishSnapshot();
     };
     handlers.onTargets = [this](std::shared_ptr<const membership::TargetSet> targets) {
@@ -118,6 +120,7 @@
             m_watcher.markLeaving({ it.id(), it.born() });
     }
     m_placement.handle(datagram);
+    m_usage.handle(datagram);
 }
 
 void GatewayControl::announceStop()
@@ -156,10 +159,12 @@
     if (wasSuspended()) {
         m_log.write(observe::Level::Warning, "resumed_after_pause", {});
         m_placement.discardDispatchPoints();
+        m_usage.clearPoints();
         m_watcher.refresh();
         http::asio::post(m_traffic, m_onResume);
     }
     m_placement.tick();
+    m_usage.tick();
 }
 
 std::uint64_t GatewayControl::requestSlot(SlotQuery query, PlacementClient::Callback callback)
@@ -196,4 +201,13 @@
     http::asio::post(m_io, [this, service, point, outcome] { m_placement.report(service, point, outcome); });
 }
 
+void GatewayControl::admit(const std::string& workspace, std::function<void(const Admission&)> done)
+{
+    http::asio::post(m_io, [this, workspace, done = std::move(done)]() mutable {
+        m_usage.admit(workspace, [this, done = std::move(done)](const Admission& admission) {
+            http::asio::post(m_traffic, [done, admission] { done(admission); });
+        });
+    });
+}
+
 } // namespace buckthorncroft::gateway
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -6,6 +6,7 @@
 #include "registry_relay.h"
 #include "registry_watcher.h"
 #include "traffic_context.h"
+#include "usage_client.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <memory>
@@ -15,7 +16,7 @@
 
 /// Owns the control thread, which watches the registry, runs the dispatch points and exchanges datagrams with other
 /// instances. Its public functions are called from the traffic thread.
-class GatewayControl final : public PlacementService {
+class GatewayControl final : public PlacementService, public AdmissionService {
 public:
     /// Posts results to `traffic`, the context of the traffic thread. Calls `onResume` on that thread after the machine
     /// was suspended. The references must outlive this object.
@@ -36,6 +37,7 @@
     std::uint64_t requestSlot(SlotQuery query, PlacementClient::Callback callback) override;
     void withdraw(std::uint64_t token) override;
     void report(const std::string& service, const std::string& point, const routing::DispatchOutcome& outcome) override;
+    void admit(const std::string& workspace, std::function<void(const Admission&)> done) override;
 
 private:
     using WorkGuard = http::asio::executor_work_guard<http::asio::io_context::executor_type>;
@@ -59,6 +61,7 @@
     PeerChannel m_channel;
     PeerGroup m_peers;
     PlacementClient m_placement;
+    UsageClient m_usage;
     RegistryRelay m_relay;
     std::unique_ptr<Registry> m_registry;
     RegistryWatcher m_watcher;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -68,7 +68,7 @@
             , m_control(m_settings, deployment, m_clock, m_log, m_metrics, m_snapshots, m_io,
                   [this] { m_traffic.closeIdleTargetConnections(); })
             , m_context { m_io, m_clock, m_headers, m_snapshots, m_control, m_log, m_metrics, m_memory,
-                ConnectionPool(m_clock), std::mt19937_64(std::random_device {}()) }
+                ConnectionPool(m_clock), std::mt19937_64(std::random_device {}()), &m_control }
             , m_traffic(m_context)
             , m_ready(m_io, [this](const std::string& path) { return respond(path); })
             , m_signals(
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -3,6 +3,7 @@
 
 #include "../../src/gateway/placement_client.h"
 #include "../../src/gateway/registry_relay.h"
+#include "../../src/gateway/usage_client.h"
 
 #include <limits>
 #include <optional>
@@ -21,6 +22,7 @@
         , peers(settings(), clock, channel, 1)
         , relay(clock, peers)
         , placement(settings(), clock, peers, log, 1)
+        , usage(clock, peers, log, metrics, 1)
     {
         BOOST_REQUIRE(channel.open({ "127.0.0.1", 0 }));
         auto targets = std::make_shared<membership::TargetSet>();
@@ -28,6 +30,10 @@
         entry.record = { "t", "s", "127.0.0.1", 80, "z1" };
         targets->services["s"]["t"] = entry;
         placement.setTargets(targets);
+        routing::Workspace workspace;
+        workspace.name = "w";
+        workspace.cap = { 10, 5 };
+        usage.setWorkspaces({ workspace });
     }
 
     static const gateway::GatewaySettings& settings()
@@ -51,6 +57,8 @@
         auto delta = relay.handle(datagram);
         placement.handle(datagram);
         placement.tick();
+        usage.handle(datagram);
+        usage.tick();
         return delta;
     }
 
@@ -68,11 +76,13 @@
 
     base::ManualClock clock;
     observe::Logger log;
+    observe::Metrics metrics;
     http::asio::io_context io { 1 };
     gateway::PeerChannel channel;
     gateway::PeerGroup peers;
     gateway::RegistryRelay relay;
     gateway::PlacementClient placement;
+    gateway::UsageClient usage;
 };
 
 /// A datagram with every part.
@@ -104,6 +114,11 @@
     entry.set_slots(3);
     result.add_leaving()->set_id("t");
     result.mutable_routes()->set_document("{}");
+    auto& usage = *result.mutable_usage();
+    usage.add_requests()->set_workspace("w");
+    usage.add_decisions()->set_request(1);
+    usage.add_balances()->set_workspace("w");
+    usage.set_heartbeat(true);
     return result;
 }
 
