Share the slots of a service among classes and workspaces

The dispatch point served queued requests by priority and objective only, so one workspace could fill the queue and a less urgent kind could get nothing while an urgent one asked for all slots.

FairQueue serves more urgent classes first, keeps a reserve for the others and shares the slots of a class among workspaces by start-time fair queueing. The expected wait is estimated for the class and workspace of a request.

--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -5,6 +5,8 @@
 #include <buckthorncroft/limits/fleet_retry_budget.h>
 #include <buckthorncroft/limits/rate_meter.h>
 #include <buckthorncroft/membership/target_directory.h>
+#include <buckthorncroft/routing/dispatch_request.h>
+#include <buckthorncroft/routing/fair_queue.h>
 #include <buckthorncroft/routing/unserved_share.h>
 #include <chrono>
 #include <cstdint>
@@ -17,29 +19,6 @@
 
 namespace buckthorncroft::routing {
 
-/// Identifies a slot request of one instance.
-struct DispatchKey {
-    std::string instance;
-    std::uint64_t request = 0; ///< Unique on the instance.
-    bool operator==(const DispatchKey&) const = default;
-};
-
-/// A request of an instance for a slot on any target of the service.
-struct DispatchRequest {
-    DispatchKey key;
-    std::string zone; ///< Availability zone of the instance.
-    config::RequestKind kind = config::RequestKind::Idempotent;
-    unsigned priority = 0; ///< 0 is the highest.
-    unsigned attempt = 0; ///< 0 for the first attempt; further attempts are charged to the retry budget.
-    base::SteadyTime objectiveDeadline; ///< A response up to this time meets the latency objective.
-    base::SteadyTime deadline; ///< A response after this time is of no use to the caller.
-    std::vector<std::string> connectedTargets; ///< Targets to which the instance has an idle connection.
-    std::vector<std::string> excluded; ///< Targets that must not receive this request.
-    std::string workspace; ///< Workspace of the caller; empty if it has none.
-    std::uint32_t requestBytes = 0; ///< Length of the body.
-    std::uint32_t responseBytes = 0; ///< Expected length of the response's body.
-};
-
 /// A slot that an instance uses. Instances repeat their slots, so that a new dispatch point receives the slots in use.
 struct HeldSlot {
     std::uint64_t grant = 0;
@@ -135,7 +114,7 @@
 
 /// Assigns the requests of one service to target slots for the whole fleet. It tracks the slots in use, the outcomes of
 /// all attempts and the queue of requests, so it can balance load that no single instance sees. Requests beyond the
-/// free slots wait in order of priority and latency objective. Requests that would wait too long are refused at once,
+/// free slots wait in the order of `FairQueue`. Requests that would wait too long are refused at once,
 /// with the delay after which the service can take them.
 ///
 /// All state is soft: instances repeat the slots that they hold, so a restarted point has complete state after the
@@ -197,11 +176,6 @@
         base::SteadyTime lastGrantAt {};
         bool hasHadRequest = false;
     };
-    struct QueuedRequest {
-        DispatchRequest request;
-        base::SteadyTime queuedAt;
-        base::SteadyTime waitDeadline; ///< At this time the request is granted at any risk, or refused.
-    };
     /// Whether enough targets have received requests recently.
     struct Coverage {
         base::SteadyTime checkedAt {};
@@ -245,7 +219,7 @@
     TargetMap m_targets;
     limits::FleetRetryBudget m_retryBudget;
     limits::RateMeter m_grantRate;
-    std::vector<QueuedRequest> m_queue; ///< In the order in which they receive slots.
+    FairQueue m_queue;
     std::unordered_map<std::uint64_t, std::string> m_grantTargets; ///< Target id of each grant in use.
     std::vector<DispatchDecision> m_decisions;
     std::vector<std::string> m_riskChanges;
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -98,19 +98,6 @@
         return request.kind == config::RequestKind::Idempotent;
     }
 
-    // Orders by priority. Within a priority, requests that can still meet their latency objective come first, by that
-    // objective; late requests follow, by deadline.
-    bool hasPrecedence(const DispatchRequest& a, const DispatchRequest& b, base::SteadyTime now)
-    {
-        if (a.priority != b.priority)
-            return a.priority < b.priority;
-        const bool lateA = a.objectiveDeadline <= now;
-        const bool lateB = b.objectiveDeadline <= now;
-        if (lateA != lateB)
-            return lateB;
-        return lateA ? a.deadline < b.deadline : a.objectiveDeadline < b.objectiveDeadline;
-    }
-
 } // namespace
 
 const char* toString(DispatchRefusal refusal)
@@ -312,6 +299,7 @@
     target.hasHadRequest = true;
     target.lastGrantAt = now;
     m_grantRate.recordEvent(now);
+    m_queue.recordGrant(request, now);
     const bool targetStateUnknown = target.risk.timeSinceEvidence(now) > evidenceTtl;
     target.slots.push_back({ id, request.key, now, request.deadline + grantExpiryMargin, targetStateUnknown });
     m_grantTargets[id] = target.entry.record.id;
@@ -346,9 +334,7 @@
 
 Seconds DispatchPoint::expectedWait(const DispatchRequest& request, base::SteadyTime now) const
 {
-    const auto ahead = std::count_if(m_queue.begin(), m_queue.end(),
-        [&](const QueuedRequest& it) { return !hasPrecedence(request, it.request, now); });
-    return Seconds((static_cast<double>(ahead) + 1) / grantRate(now));
+    return m_queue.expectedWait(request, grantRate(now), now);
 }
 
 // Estimates how many requests per second the targets can take. While requests are queued, every slot is in use, so the
@@ -401,10 +387,8 @@
 
 void DispatchPoint::requestSlot(const DispatchRequest& request, base::SteadyTime now)
 {
-    for (const auto& it : m_queue) {
-        if (it.request.key == request.key && it.request.attempt == request.attempt)
-            return;
-    }
+    if (m_queue.contains(request.key, request.attempt))
+        return;
     for (const auto& [id, target] : m_targets) {
         for (const auto& slot : target.slots) {
             // The request is repeated because the grant was lost on the network.
@@ -422,6 +406,7 @@
     updateCoverage(now);
     if (request.attempt == 0)
         m_retryBudget.recordRequest(now);
+    m_queue.recordArrival(request, now);
     if (m_targets.empty())
         return queueUntilTargetsKnown(request, now);
     if (!hasTargetFor(request))
@@ -433,14 +418,11 @@
         m_lastPlannedRetryAt = std::max(m_lastPlannedRetryAt, *pauseEnd);
         return refuse(request, DispatchRefusal::Overloaded, now);
     }
-    const bool first = m_queue.empty() || hasPrecedence(request, m_queue.front().request, now);
-    if (first && tryGrant(queued, now))
+    if (m_queue.wouldBeNext(request, now) && tryGrant(queued, now))
         return;
     if (expectedWait(request, now) > Seconds(queued.waitDeadline - now) * maxWaitFraction)
         return grantOrRefuse(request, now);
-    const auto place = std::find_if(m_queue.begin(), m_queue.end(),
-        [&](const QueuedRequest& it) { return hasPrecedence(request, it.request, now); });
-    m_queue.insert(place, queued);
+    m_queue.insert(queued, now);
     dispatchQueue(now);
 }
 
@@ -457,13 +439,13 @@
 // An instance that has just started receives the list of targets slightly later than its first requests.
 void DispatchPoint::queueUntilTargetsKnown(const DispatchRequest& request, base::SteadyTime now)
 {
-    m_queue.push_back(
-        { request, now, std::min(now + m_settings.firstTargetsTimeout, computeWaitDeadline(request, now)) });
+    m_queue.insert(
+        { request, now, std::min(now + m_settings.firstTargetsTimeout, computeWaitDeadline(request, now)) }, now);
 }
 
 void DispatchPoint::withdraw(const DispatchKey& key)
 {
-    std::erase_if(m_queue, [&](const QueuedRequest& it) { return it.request.key == key; });
+    m_queue.removeIf([&](const QueuedRequest& it) { return it.request.key == key; });
 }
 
 void DispatchPoint::recordOutcome(const DispatchOutcome& outcome, base::SteadyTime now)
@@ -570,25 +552,22 @@
 // function runs again with each slot that becomes free.
 void DispatchPoint::dispatchQueue(base::SteadyTime now)
 {
-    unsigned failedPlacements = 0;
-    for (auto it = m_queue.begin(); it != m_queue.end() && failedPlacements < maxFailedPlacements;) {
-        if (tryGrant(*it, now)) {
-            it = m_queue.erase(it);
-        } else {
-            ++failedPlacements;
-            ++it;
-        }
+    std::vector<const QueuedRequest*> skipped;
+    while (skipped.size() < maxFailedPlacements) {
+        const auto* next = m_queue.next(skipped, now);
+        if (!next)
+            return;
+        if (tryGrant(*next, now))
+            m_queue.removeGranted(*next);
+        else
+            skipped.push_back(next);
     }
 }
 
 void DispatchPoint::grantOrRefuseTimedOut(base::SteadyTime now)
 {
-    std::erase_if(m_queue, [&](const QueuedRequest& it) {
-        if (now < it.waitDeadline)
-            return false;
+    for (const auto& it : m_queue.removeIf([&](const QueuedRequest& queued) { return now >= queued.waitDeadline; }))
         grantOrRefuse(it.request, now);
-        return true;
-    });
 }
 
 void DispatchPoint::releaseExpiredGrants(base::SteadyTime now)
