Hand the retry window over to the points that may succeed

A successor counted from zero, so each point could use only half of the allowance of extra attempts.

A point sends the counts of its intervals to its successors every 250 ms. A point that knows the whole window, because it counted it or received it, may use 0.9 of the allowance; otherwise it keeps to half until a window has passed.

--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -83,8 +83,11 @@
 /// less for an idempotent request, which can be retried.
 struct DispatchSettings {
     limits::RetryAllowance retries;
-    /// Part of the allowance that this point may use. Less than 1, because a successor counts from zero.
+    /// Part of the allowance that this point may use while it does not know the counts of the whole window. Less than
+    /// 1, because its predecessor may have used the rest.
     double retryAllowanceFraction = 0.5;
+    /// The same once it knows them. The rest covers counts that are lost on the network.
+    double retryAllowanceFractionWithHandover = 0.9;
     double maxNonIdempotentRisk = 0.12; ///< A target up to this risk takes any request.
     double maxIdempotentRisk = 0.35; ///< A target up to this risk takes idempotent requests.
     double newConnectionCost = 0.06; ///< Cost of opening a connection.
@@ -153,6 +156,16 @@
     /// Returns the risks that changed since the last call, for the points that may succeed this one.
     std::vector<TargetRiskReport> takeRiskChanges(base::SteadyTime now);
 
+    /// Returns the counts of requests and extra attempts that changed since the last call, for the points that may
+    /// succeed this one.
+    std::vector<limits::RetryUsage> takeRetryUsage(base::SteadyTime now) { return m_retryBudget.takeUsage(now); }
+
+    /// Merges the counts of the point that this one may succeed.
+    void mergeRetryUsage(const std::vector<limits::RetryUsage>& usage, base::SteadyTime now)
+    {
+        m_retryBudget.mergeUsage(usage, now);
+    }
+
     std::size_t queueLength() const { return m_queue.size(); }
 
     DispatchLoad load(base::SteadyTime now) const;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -27,6 +27,9 @@
     // Number of instances that receive the risks of the targets because they may take over as dispatch point.
     constexpr std::size_t informedSuccessorCount = 2;
 
+    // Interval at which these instances receive the counts of the retry budget.
+    constexpr milliseconds retryUsageInterval { 250 };
+
 } // namespace
 
 PlacementClient::PlacementClient(const GatewaySettings& settings, const base::Clock& clock, PeerGroup& peers,
@@ -201,7 +204,14 @@
     }
     const auto now = m_clock.now();
     const auto risks = point.takeRiskChanges(now);
-    if (risks.empty() || m_peers.ranking().first(service, now) != m_peers.self())
+    if (m_peers.ranking().first(service, now) != m_peers.self())
+        return;
+    std::vector<limits::RetryUsage> usage;
+    if (auto& sentAt = m_retryUsageSentAt[service]; now - sentAt >= retryUsageInterval) {
+        sentAt = now;
+        usage = point.takeRetryUsage(now);
+    }
+    if (risks.empty() && usage.empty())
         return;
     for (const auto& peer : m_peers.ranking().successors(service, informedSuccessorCount, now)) {
         auto& part = findOrAddPart(outbox, peer, service);
@@ -210,6 +220,12 @@
             risk.set_target(it.target);
             risk.set_probability(static_cast<float>(it.probability));
         }
+        for (const auto& it : usage) {
+            auto& message = *part.add_retry_usage();
+            message.set_age_ms(static_cast<std::uint32_t>(it.age.count()));
+            message.set_requests(it.requests);
+            message.set_extra_attempts(it.extraAttempts);
+        }
     }
 }
 
@@ -237,7 +253,8 @@
     const auto now = m_clock.now();
     for (const auto& it : part.decisions())
         handleDecision(sender, it);
-    if (part.requests().empty() && part.outcomes().empty() && part.risks().empty() && part.withdrawals().empty())
+    if (part.requests().empty() && part.outcomes().empty() && part.risks().empty() && part.withdrawals().empty()
+        && part.retry_usage().empty())
         return;
     auto& point = findOrCreatePoint(part.service());
     for (const auto& it : part.outcomes()) {
@@ -252,6 +269,11 @@
     for (const auto& it : part.risks())
         risks.push_back({ it.target(), it.probability() });
     point.mergeRisks(risks, now);
+    std::vector<limits::RetryUsage> usage;
+    for (const auto& it : part.retry_usage())
+        usage.push_back({ milliseconds(it.age_ms()), it.requests(), it.extra_attempts() });
+    if (!usage.empty())
+        point.mergeRetryUsage(usage, now);
     Outbox outbox;
     for (const auto& it : part.requests()) {
         point.reconcileHeldSlots(sender, decodeHeldSlots(it), now);
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -110,6 +110,7 @@
     std::uint64_t m_seed;
     std::map<std::string, std::unique_ptr<routing::DispatchPoint>> m_points; ///< Local points by service.
     std::map<std::string, base::SteadyTime> m_queueLoggedAt; ///< By service.
+    std::map<std::string, base::SteadyTime> m_retryUsageSentAt; ///< By service.
     std::map<std::uint64_t, PendingRequest> m_pending; ///< By request number.
     std::map<std::string, std::map<std::uint64_t, HeldGrant>> m_heldGrants; ///< Slots in use, by service and grant.
     std::shared_ptr<const membership::TargetSet> m_targets;
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -131,6 +131,8 @@
     , m_serviceTime(settings.initialServiceTime)
     , m_random(seed)
 {
+    m_retryBudget.setFractionWithHandover(
+        std::max(settings.retryAllowanceFraction, settings.retryAllowanceFractionWithHandover));
 }
 
 void DispatchPoint::setTargets(const std::map<std::string, membership::DirectoryEntry>& targets, base::SteadyTime now)
--- a/tests/core/fleet_retry_budget_test.cpp
+++ b/tests/core/fleet_retry_budget_test.cpp
@@ -74,3 +74,57 @@
         ++taken;
     BOOST_TEST(taken == 5);
 }
+
+// Guards against extra attempts beyond the allowance when a successor takes over within the window, and against an
+// allowance that stays unused. The point changes every 4 s, and every third message to the successor is lost.
+BOOST_AUTO_TEST_CASE(handoverUsesNearlyTheWholeAllowance)
+{
+    const limits::RetryAllowance allowance { 0.2, 10'000ms, 20 };
+    base::ManualClock clock;
+    std::vector<limits::FleetRetryBudget> points(3, limits::FleetRetryBudget(allowance, 0.5));
+    for (auto& it : points)
+        it.setFractionWithHandover(0.9);
+    Times requests;
+    Times extraAttempts;
+    double maxUsed = 0;
+    for (int step = 0; step < 6000; ++step) {
+        clock.advance(10ms);
+        const auto now = clock.now();
+        auto& point = points[static_cast<std::size_t>(step / 400) % points.size()];
+        point.recordRequest(now);
+        requests.push_back(now);
+        if (point.tryTake(now))
+            extraAttempts.push_back(now);
+        if (step % 25 == 24) {
+            const auto usage = point.takeUsage(now);
+            for (auto& it : points) {
+                if (&it != &point && step % 75 != 74)
+                    it.mergeUsage(usage, now + 2ms);
+            }
+        }
+        const double used = countBetween(extraAttempts, now, 10'000ms, 0ms);
+        const double allowed = 0.2 * countBetween(requests, now, 10'000ms, 0ms) + 20;
+        BOOST_REQUIRE(used <= allowed);
+        if (step > 2000)
+            maxUsed = std::max(maxUsed, used / allowed);
+    }
+    BOOST_TEST_MESSAGE("largest part of the allowance in use: " << maxUsed);
+    BOOST_TEST(maxUsed >= 0.8);
+}
+
+// Guards against a successor that uses more than its part although it does not know what its predecessor used.
+BOOST_AUTO_TEST_CASE(successorWithoutHandoverKeepsToItsPartForOneWindow)
+{
+    limits::FleetRetryBudget budget({ 0, 1000ms, 10 }, 0.5);
+    budget.setFractionWithHandover(0.9);
+    base::ManualClock clock;
+    const auto takeAll = [&] {
+        int taken = 0;
+        while (budget.tryTake(clock.now()))
+            ++taken;
+        return taken;
+    };
+    BOOST_TEST(takeAll() == 5);
+    clock.advance(1200ms);
+    BOOST_TEST(takeAll() == 9);
+}
