--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -5,6 +5,8 @@
 #include <buckthorncroft/limits/fleet_retry_budget.h>
 #include <buckthorncroft/limits/rate_meter.h>
 #include <buckthorncroft/membership/target_directory.h>
+#include <buckthorncroft/routing/dispatch_request.h>
+#include <buckthorncroft/routing/fair_queue.h>
 #include <buckthorncroft/routing/unserved_share.h>
 #include <chrono>
 #include <cstdint>
@@ -17,29 +19,6 @@
 
 namespace buckthorncroft::routing {
 
-/// Identifies a slot request of one instance.
-struct DispatchKey {
-    std::string instance;
-    std::uint64_t request = 0; ///< Unique on the instance.
-    bool operator==(const DispatchKey&) const = default;
-};
-
-/// A request of an instance for a slot on any target of the service.
-struct DispatchRequest {
-    DispatchKey key;
-    std::string zone; ///< Availability zone of the instance.
-    config::RequestKind kind = config::RequestKind::Idempotent;
-    unsigned priority = 0; ///< 0 is the highest.
-    unsigned attempt = 0; ///< 0 for the first attempt; further attempts are charged to the retry budget.
-    base::SteadyTime objectiveDeadline; ///< A response up to this time meets the latency objective.
-    base::SteadyTime deadline; ///< A response after this time is of no use to the caller.
-    std::vector<std::string> connectedTargets; ///< Targets to which the instance has an idle connection.
-    std::vector<std::string> excluded; ///< Targets that must not receive this request.
-    std::string workspace; ///< Workspace of the caller; empty if it has none.
-    std::uint32_t requestBytes = 0; ///< Length of the body.
-    std::uint32_t responseBytes = 0; ///< Expected length of the response's body.
-};
-
 /// A slot that an instance uses. Instances repeat their slots, so that a new dispatch point receives the slots in use.
 struct HeldSlot {
     std::uint64_t grant = 0;
@@ -104,8 +83,11 @@
 /// less for an idempotent request, which can be retried.
 struct DispatchSettings {
     limits::RetryAllowance retries;
-    /// Part of the allowance that this point may use. Less than 1, because a successor counts from zero.
+    /// Part of the allowance that this point may use while it does not know the counts of the whole window. Less than
+    /// 1, because its predecessor may have used the rest.
     double retryAllowanceFraction = 0.5;
+    /// The same once it knows them. The rest covers counts that are lost on the network.
+    double retryAllowanceFractionWithHandover = 0.9;
     double maxNonIdempotentRisk = 0.12; ///< A target up to this risk takes any request.
     double maxIdempotentRisk = 0.35; ///< A target up to this risk takes idempotent requests.
     double newConnectionCost = 0.06; ///< Cost of opening a connection.
@@ -135,7 +117,7 @@
 
 /// Assigns the requests of one service to target slots for the whole fleet. It tracks the slots in use, the outcomes of
 /// all attempts and the queue of requests, so it can balance load that no single instance sees. Requests beyond the
-/// free slots wait in order of priority and latency objective. Requests that would wait too long are refused at once,
+/// free slots wait in the order of `FairQueue`. Requests that would wait too long are refused at once,
 /// with the delay after which the service can take them.
 ///
 /// All state is soft: instances repeat the slots that they hold, so a restarted point has complete state after the
@@ -174,6 +156,16 @@
     /// Returns the risks that changed since the last call, for the points that may succeed this one.
     std::vector<TargetRiskReport> takeRiskChanges(base::SteadyTime now);
 
+    /// Returns the counts of requests and extra attempts that changed since the last call, for the points that may
+    /// succeed this one.
+    std::vector<limits::RetryUsage> takeRetryUsage(base::SteadyTime now) { return m_retryBudget.takeUsage(now); }
+
+    /// Merges the counts of the point that this one may succeed.
+    void mergeRetryUsage(const std::vector<limits::RetryUsage>& usage, base::SteadyTime now)
+    {
+        m_retryBudget.mergeUsage(usage, now);
+    }
+
     std::size_t queueLength() const { return m_queue.size(); }
 
     DispatchLoad load(base::SteadyTime now) const;
@@ -197,11 +189,6 @@
         base::SteadyTime lastGrantAt {};
         bool hasHadRequest = false;
     };
-    struct QueuedRequest {
-        DispatchRequest request;
-        base::SteadyTime queuedAt;
-        base::SteadyTime waitDeadline; ///< At this time the request is granted at any risk, or refused.
-    };
     /// Whether enough targets have received requests recently.
     struct Coverage {
         base::SteadyTime checkedAt {};
@@ -228,6 +215,8 @@
     bool hasTargetFor(const DispatchRequest& request) const;
     std::chrono::milliseconds assignRetryAfter(const DispatchRequest& request, base::SteadyTime now);
     std::chrono::duration<double> expectedWait(const DispatchRequest& request, base::SteadyTime now) const;
+    std::chrono::duration<double> maxWait(base::SteadyTime waitDeadline, base::SteadyTime now) const;
+    void refuseHopeless(base::SteadyTime now);
     base::SteadyTime computeWaitDeadline(const DispatchRequest& request, base::SteadyTime now) const;
     std::chrono::duration<double> idleExcess(const Target& target, base::SteadyTime now) const;
     bool isNew(const Target& target, base::SteadyTime now) const;
@@ -245,7 +234,7 @@
     TargetMap m_targets;
     limits::FleetRetryBudget m_retryBudget;
     limits::RateMeter m_grantRate;
-    std::vector<QueuedRequest> m_queue; ///< In the order in which they receive slots.
+    FairQueue m_queue;
     std::unordered_map<std::uint64_t, std::string> m_grantTargets; ///< Target id of each grant in use.
     std::vector<DispatchDecision> m_decisions;
     std::vector<std::string> m_riskChanges;
@@ -253,7 +242,8 @@
     double m_unknownRisk = 0.1; ///< Risk of a target without recent evidence; estimated from requests to such targets.
     UnservedShare m_unserved;
     Coverage m_coverage;
-    base::SteadyTime m_lastPlannedRetryAt {}; ///< Retry time of the most recently refused caller.
+    std::map<unsigned, base::SteadyTime> m_lastPlannedRetryAt; ///< Retry time of the last refused caller, by priority.
+    base::SteadyTime m_hopelessCheckedAt {};
     base::SteadyTime m_expiryCheckedAt {}; ///< When expired grants were last released.
     std::mt19937_64 m_random;
 };
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -27,7 +27,7 @@
 
     // A request is queued only if its expected wait is at most this part of the time until its wait deadline. The rest
     // allows for estimation errors and for targets that slow down when all their slots are in use.
-    constexpr double maxWaitFraction = 0.3;
+    constexpr double maxWaitFraction = 0.5;
 
     // After this time without evidence, the state of a target is unknown, because it may have changed.
     constexpr milliseconds evidenceTtl { 2500 };
@@ -69,6 +69,17 @@
     // A refused caller is asked to retry after at most this part of its remaining time.
     constexpr double maxRetryAfterFraction = 0.33;
 
+    // Callers that would be asked to return after that delay return from this part of it on.
+    constexpr double minSpreadFraction = 0.5;
+
+    // Bounds the memory of the queue. Each queued request also holds a connection of its caller at some instance.
+    constexpr std::size_t maxQueuedRequests = 8192;
+
+    // A queued request whose expected wait exceeds its remaining wait by this factor is refused. The estimate is wrong
+    // by less than that while the targets keep their speed.
+    constexpr double hopelessWaitFactor = 1.5;
+    constexpr milliseconds hopelessCheckInterval { 200 };
+
     // Part of the capacity that is planned for retries of refused callers. The rest serves new requests.
     constexpr double retryCapacityFraction = 0.5;
 
@@ -98,19 +109,6 @@
         return request.kind == config::RequestKind::Idempotent;
     }
 
-    // Orders by priority. Within a priority, requests that can still meet their latency objective come first, by that
-    // objective; late requests follow, by deadline.
-    bool hasPrecedence(const DispatchRequest& a, const DispatchRequest& b, base::SteadyTime now)
-    {
-        if (a.priority != b.priority)
-            return a.priority < b.priority;
-        const bool lateA = a.objectiveDeadline <= now;
-        const bool lateB = b.objectiveDeadline <= now;
-        if (lateA != lateB)
-            return lateB;
-        return lateA ? a.deadline < b.deadline : a.objectiveDeadline < b.objectiveDeadline;
-    }
-
 } // namespace
 
 const char* toString(DispatchRefusal refusal)
@@ -133,6 +131,8 @@
     , m_serviceTime(settings.initialServiceTime)
     , m_random(seed)
 {
+    m_retryBudget.setFractionWithHandover(
+        std::max(settings.retryAllowanceFraction, settings.retryAllowanceFractionWithHandover));
 }
 
 void DispatchPoint::setTargets(const std::map<std::string, membership::DirectoryEntry>& targets, base::SteadyTime now)
@@ -312,6 +312,7 @@
     target.hasHadRequest = true;
     target.lastGrantAt = now;
     m_grantRate.recordEvent(now);
+    m_queue.recordGrant(request, now);
     const bool targetStateUnknown = target.risk.timeSinceEvidence(now) > evidenceTtl;
     target.slots.push_back({ id, request.key, now, request.deadline + grantExpiryMargin, targetStateUnknown });
     m_grantTargets[id] = target.entry.record.id;
@@ -346,9 +347,7 @@
 
 Seconds DispatchPoint::expectedWait(const DispatchRequest& request, base::SteadyTime now) const
 {
-    const auto ahead = std::count_if(m_queue.begin(), m_queue.end(),
-        [&](const QueuedRequest& it) { return !hasPrecedence(request, it.request, now); });
-    return Seconds((static_cast<double>(ahead) + 1) / grantRate(now));
+    return m_queue.expectedWait(request, grantRate(now), now);
 }
 
 // Estimates how many requests per second the targets can take. While requests are queued, every slot is in use, so the
@@ -358,6 +357,12 @@
     return std::max(m_grantRate.perSecond(now), assumedUsableFraction * usableSlots(now) / m_serviceTime.count());
 }
 
+// The longest expected wait with which a request is queued.
+Seconds DispatchPoint::maxWait(base::SteadyTime waitDeadline, base::SteadyTime now) const
+{
+    return Seconds(waitDeadline - now) * maxWaitFraction;
+}
+
 base::SteadyTime DispatchPoint::computeWaitDeadline(const DispatchRequest& request, base::SteadyTime now) const
 {
     const auto serviceTime = duration_cast<base::SteadyTime::duration>(m_serviceTime);
@@ -368,14 +373,24 @@
     return std::min(std::max(objectiveLimit, lateLimit), request.deadline - serviceTime);
 }
 
+// Callers of one class return one after the other, from the time at which the class is expected to accept them. Beyond
+// the maximum delay, their times are spread at random.
 milliseconds DispatchPoint::assignRetryAfter(const DispatchRequest& request, base::SteadyTime now)
 {
-    const Seconds interval(1 / (grantRate(now) * retryCapacityFraction));
-    m_lastPlannedRetryAt = std::max(m_lastPlannedRetryAt, now + m_settings.minRetryAfter)
-        + duration_cast<base::SteadyTime::duration>(interval);
+    const Seconds interval(1 / (m_queue.classRate(request.priority, grantRate(now), now) * retryCapacityFraction));
+    const auto excessWait = expectedWait(request, now) - maxWait(computeWaitDeadline(request, now), now);
+    const auto minDelay = std::max<Seconds>(m_settings.minRetryAfter, excessWait);
     const auto maxRetryAfter = std::max(
         m_settings.minRetryAfter, duration_cast<milliseconds>((request.deadline - now) * maxRetryAfterFraction));
-    return std::clamp(duration_cast<milliseconds>(m_lastPlannedRetryAt - now), m_settings.minRetryAfter, maxRetryAfter);
+    auto& planned = m_lastPlannedRetryAt[request.priority];
+    planned
+        = std::max(planned, now + duration_cast<base::SteadyTime::duration>(std::min<Seconds>(minDelay, maxRetryAfter)))
+        + duration_cast<base::SteadyTime::duration>(interval);
+    if (planned <= now + maxRetryAfter)
+        return std::max(duration_cast<milliseconds>(planned - now), m_settings.minRetryAfter);
+    planned = std::min(planned, now + maxRetryAfter);
+    const double part = std::uniform_real_distribution<double>(minSpreadFraction, 1)(m_random);
+    return std::max(duration_cast<milliseconds>(maxRetryAfter * part), m_settings.minRetryAfter);
 }
 
 // Updates the assumed risk of targets without recent evidence from the outcome of a request to such a target.
@@ -401,10 +416,8 @@
 
 void DispatchPoint::requestSlot(const DispatchRequest& request, base::SteadyTime now)
 {
-    for (const auto& it : m_queue) {
-        if (it.request.key == request.key && it.request.attempt == request.attempt)
-            return;
-    }
+    if (m_queue.contains(request.key, request.attempt))
+        return;
     for (const auto& [id, target] : m_targets) {
         for (const auto& slot : target.slots) {
             // The request is repeated because the grant was lost on the network.
@@ -422,6 +435,7 @@
     updateCoverage(now);
     if (request.attempt == 0)
         m_retryBudget.recordRequest(now);
+    m_queue.recordArrival(request, now);
     if (m_targets.empty())
         return queueUntilTargetsKnown(request, now);
     if (!hasTargetFor(request))
@@ -430,17 +444,15 @@
         return refuse(request, DispatchRefusal::RetryBudgetExhausted, now);
     const QueuedRequest queued { request, now, computeWaitDeadline(request, now) };
     if (const auto pauseEnd = earliestEndOfPauses(request); pauseEnd && *pauseEnd > queued.waitDeadline) {
-        m_lastPlannedRetryAt = std::max(m_lastPlannedRetryAt, *pauseEnd);
+        auto& planned = m_lastPlannedRetryAt[request.priority];
+        planned = std::max(planned, *pauseEnd);
         return refuse(request, DispatchRefusal::Overloaded, now);
     }
-    const bool first = m_queue.empty() || hasPrecedence(request, m_queue.front().request, now);
-    if (first && tryGrant(queued, now))
+    if (m_queue.wouldBeNext(request, now) && tryGrant(queued, now))
         return;
-    if (expectedWait(request, now) > Seconds(queued.waitDeadline - now) * maxWaitFraction)
+    if (m_queue.size() >= maxQueuedRequests || expectedWait(request, now) > maxWait(queued.waitDeadline, now))
         return grantOrRefuse(request, now);
-    const auto place = std::find_if(m_queue.begin(), m_queue.end(),
-        [&](const QueuedRequest& it) { return hasPrecedence(request, it.request, now); });
-    m_queue.insert(place, queued);
+    m_queue.insert(queued, now);
     dispatchQueue(now);
 }
 
@@ -457,13 +469,13 @@
 // An instance that has just started receives the list of targets slightly later than its first requests.
 void DispatchPoint::queueUntilTargetsKnown(const DispatchRequest& request, base::SteadyTime now)
 {
-    m_queue.push_back(
-        { request, now, std::min(now + m_settings.firstTargetsTimeout, computeWaitDeadline(request, now)) });
+    m_queue.insert(
+        { request, now, std::min(now + m_settings.firstTargetsTimeout, computeWaitDeadline(request, now)) }, now);
 }
 
 void DispatchPoint::withdraw(const DispatchKey& key)
 {
-    std::erase_if(m_queue, [&](const QueuedRequest& it) { return it.request.key == key; });
+    m_queue.removeIf([&](const QueuedRequest& it) { return it.request.key == key; });
 }
 
 void DispatchPoint::recordOutcome(const DispatchOutcome& outcome, base::SteadyTime now)
@@ -570,25 +582,37 @@
 // function runs again with each slot that becomes free.
 void DispatchPoint::dispatchQueue(base::SteadyTime now)
 {
-    unsigned failedPlacements = 0;
-    for (auto it = m_queue.begin(); it != m_queue.end() && failedPlacements < maxFailedPlacements;) {
-        if (tryGrant(*it, now)) {
-            it = m_queue.erase(it);
-        } else {
-            ++failedPlacements;
-            ++it;
-        }
+    std::vector<const QueuedRequest*> skipped;
+    while (skipped.size() < maxFailedPlacements) {
+        const auto* next = m_queue.next(skipped, now);
+        if (!next)
+            return;
+        if (tryGrant(*next, now))
+            m_queue.removeGranted(*next);
+        else
+            skipped.push_back(next);
     }
 }
 
 void DispatchPoint::grantOrRefuseTimedOut(base::SteadyTime now)
 {
-    std::erase_if(m_queue, [&](const QueuedRequest& it) {
-        if (now < it.waitDeadline)
-            return false;
+    for (const auto& it : m_queue.removeIf([&](const QueuedRequest& queued) { return now >= queued.waitDeadline; }))
+        grantOrRefuse(it.request, now);
+}
+
+// Refuses the queued requests that cannot be served in time any more, because more urgent ones arrived or the targets
+// became slower.
+void DispatchPoint::refuseHopeless(base::SteadyTime now)
+{
+    if (m_queue.empty() || m_targets.empty() || now - m_hopelessCheckedAt < hopelessCheckInterval)
+        return;
+    m_hopelessCheckedAt = now;
+    const double rate = grantRate(now);
+    const auto isHopeless = [&](const QueuedRequest& it) {
+        return m_queue.expectedWait(it.request, rate, now) > Seconds(it.waitDeadline - now) * hopelessWaitFactor;
+    };
+    for (const auto& it : m_queue.removeIf(isHopeless))
         grantOrRefuse(it.request, now);
-        return true;
-    });
 }
 
 void DispatchPoint::releaseExpiredGrants(base::SteadyTime now)
@@ -611,6 +635,7 @@
     releaseExpiredGrants(now);
     dispatchQueue(now);
     grantOrRefuseTimedOut(now);
+    refuseHopeless(now);
 }
 
 DispatchLoad DispatchPoint::load(base::SteadyTime now) const
