Charge requests for the bytes that cross zones, and wait for room at home

Cause: a constant cost (0.02, uploads 0.4) decided whether a request left its zone. It knew neither the bytes nor the room of the zones, so a request that found its zone full left at once, and idle targets drew requests from other zones although their own zone's callers would have used them.

Change: routing::ZoneCosts derives the cost from both bodies' lengths, the delay and prices of the deployment ([zones] in the settings). routing::ZoneDemand keeps arrivals with their trend and the room of each zone. A request waits for a slot of its zone while that costs less than leaving; the mean wait of a zone is bounded by a fifth of the service time. Zones in use are dearer, and keep a tenth of their slots for their own callers. Idle and new targets are left to the callers of their zone while these send enough. Each grant names its reason, which is logged in `placed` and counted in buckthorncroft_zone_crossing_bytes_total.

--- a/include/buckthorncroft/gateway/settings.h
+++ b/include/buckthorncroft/gateway/settings.h
@@ -3,6 +3,7 @@
 #include <buckthorncroft/base/finding.h>
 #include <buckthorncroft/daemon/settings.h>
 #include <buckthorncroft/limits/fleet_retry_budget.h>
+#include <buckthorncroft/routing/zone_costs.h>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -23,6 +24,7 @@
     double capacity = 1; ///< Processor time available to the instance, in cores.
     std::uint64_t memoryBudget = 128u << 20; ///< Maximum total size of request bodies in flight, in bytes.
     limits::RetryAllowance retries; ///< Retry budget of the whole fleet for each service.
+    routing::ZonePrices zonePrices; ///< What it costs to serve a request in another zone.
     std::chrono::milliseconds gracePeriod { 6000 }; ///< Maximum time from SIGTERM to the end of the process.
     daemon::LogLevel logLevel = daemon::LogLevel::Info;
 };
--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -6,6 +6,9 @@
 #include <buckthorncroft/limits/rate_meter.h>
 #include <buckthorncroft/membership/target_directory.h>
 #include <buckthorncroft/routing/unserved_share.h>
+#include <buckthorncroft/routing/zone_costs.h>
+#include <buckthorncroft/routing/zone_demand.h>
+#include <buckthorncroft/routing/zone_placement.h>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -64,6 +67,7 @@
     double risk = 0; ///< Failure probability of the target, estimated from its recent attempts.
     unsigned targetCount = 0; ///< Targets of the service.
     std::size_t queuedRequests = 0; ///< Requests in the queue at the time of the decision.
+    ZonePlacement placement = ZonePlacement::Home; ///< Why the target is in its zone; valid only for a grant.
     DispatchRefusal refusal = DispatchRefusal::NoTarget; ///< Valid only for a refusal.
     std::chrono::milliseconds retryAfter { 0 }; ///< Delay after which a refused caller should retry.
 };
@@ -109,8 +113,8 @@
     double maxNonIdempotentRisk = 0.12; ///< A target up to this risk takes any request.
     double maxIdempotentRisk = 0.35; ///< A target up to this risk takes idempotent requests.
     double newConnectionCost = 0.06; ///< Cost of opening a connection.
-    double crossZoneCost = 0.02; ///< Cost of sending a small request to another zone.
-    double crossZoneUploadCost = 0.4; ///< Cost of sending an upload to another zone.
+    ZonePrices zonePrices; ///< Prices from which the cost of another zone follows.
+    std::uint32_t unknownUploadBytes = 65'536; ///< Assumed length of an upload whose length is not known.
     double loadCost = 0.1; ///< Cost of a target with all slots in use, scaled by the square of its load.
     double coldStartCost = 0.25; ///< Cost of a target in its cold start.
     double newTargetBonus = 0.8; ///< Subtracted for a warm target that has had no request, so that it is tried soon.
@@ -211,13 +215,19 @@
     };
     using TargetMap = std::map<std::string, Target>;
 
-    bool tryGrant(const QueuedRequest& queued, base::SteadyTime now);
+    enum class GrantAttempt { Granted, NoTarget, WaitsForHome };
+    GrantAttempt tryGrant(const QueuedRequest& queued, base::SteadyTime now);
     Target* chooseTarget(const DispatchRequest& request, double maxRisk, base::SteadyTime now);
     bool canAccept(const Target& target, const DispatchRequest& request, base::SteadyTime now) const;
-    bool isRiskAcceptable(const Target& target, double risk, double maxRisk, base::SteadyTime now) const;
+    bool isRiskAcceptable(
+        const Target& target, const DispatchRequest& request, double risk, double maxRisk, base::SteadyTime now) const;
     bool isTrialDue(const Target& target, base::SteadyTime now) const;
     double cost(const Target& target, const DispatchRequest& request, double risk, base::SteadyTime now) const;
     double maxRiskFor(const QueuedRequest& queued, base::SteadyTime now) const;
+    double crossingCost(const DispatchRequest& request, base::SteadyTime now) const;
+    bool waitsForHomeTarget(const QueuedRequest& queued, const Target& away, base::SteadyTime now);
+    ZonePlacement explainPlacement(const Target& target, const DispatchRequest& request, base::SteadyTime now) const;
+    void updateZoneRoom(base::SteadyTime now);
     void grantSlot(Target& target, const DispatchRequest& request, base::SteadyTime now);
     void queueUntilTargetsKnown(const DispatchRequest& request, base::SteadyTime now);
     void grantOrRefuse(const DispatchRequest& request, base::SteadyTime now);
@@ -230,6 +240,8 @@
     std::chrono::duration<double> expectedWait(const DispatchRequest& request, base::SteadyTime now) const;
     base::SteadyTime computeWaitDeadline(const DispatchRequest& request, base::SteadyTime now) const;
     std::chrono::duration<double> idleExcess(const Target& target, base::SteadyTime now) const;
+    std::chrono::duration<double> idleExcessFor(
+        const Target& target, const DispatchRequest& request, base::SteadyTime now) const;
     bool isNew(const Target& target, base::SteadyTime now) const;
     std::chrono::milliseconds maxIdleTimeFor(const Target& target) const;
     void updateCoverage(base::SteadyTime now);
@@ -253,6 +265,8 @@
     double m_unknownRisk = 0.1; ///< Risk of a target without recent evidence; estimated from requests to such targets.
     UnservedShare m_unserved;
     Coverage m_coverage;
+    ZoneCosts m_zoneCosts;
+    ZoneDemand m_zoneDemand;
     base::SteadyTime m_lastPlannedRetryAt {}; ///< Retry time of the most recently refused caller.
     base::SteadyTime m_expiryCheckedAt {}; ///< When expired grants were last released.
     std::mt19937_64 m_random;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -46,6 +46,7 @@
     if (!point) {
         routing::DispatchSettings settings;
         settings.retries = m_settings.retries;
+        settings.zonePrices = m_settings.zonePrices;
         point = std::make_unique<routing::DispatchPoint>(settings, m_seed + m_points.size());
         if (const auto targets = m_targets->services.find(service); targets != m_targets->services.end())
             point->setTargets(targets->second, m_clock.now());
@@ -125,7 +126,8 @@
     m_pending.erase(found);
     if (decision.grant)
         m_heldGrants[pending.query.service][decision.grant] = { decision.target, point };
-    pending.callback({ decision, point });
+    const auto& request = pending.query.request;
+    pending.callback({ decision, point, std::uint64_t { request.requestBytes } + request.responseBytes });
 }
 
 void PlacementClient::withdraw(std::uint64_t request)
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -24,6 +24,7 @@
 struct SlotResult {
     routing::DispatchDecision decision;
     std::string point; ///< Instance whose dispatch point made the decision.
+    std::uint64_t bytes = 0; ///< Length of the request's body and expected length of the response's.
 };
 
 /// Requests slots from the dispatch point of each service, on whichever instance it runs, and runs the dispatch points
--- a/src/gateway/placement_codec.cpp
+++ b/src/gateway/placement_codec.cpp
@@ -87,6 +87,7 @@
     message.set_retry_after_ms(static_cast<std::uint32_t>(decision.retryAfter.count()));
     message.set_considered(decision.targetCount);
     message.set_queue(static_cast<std::uint32_t>(decision.queuedRequests));
+    message.set_placement(static_cast<std::uint32_t>(decision.placement));
 }
 
 routing::DispatchDecision decodeDecision(const wire::proto::SlotDecision& message)
@@ -101,6 +102,8 @@
     result.retryAfter = milliseconds(message.retry_after_ms());
     result.targetCount = message.considered();
     result.queuedRequests = message.queue();
+    constexpr auto lastPlacement = static_cast<std::uint32_t>(routing::ZonePlacement::LowerCost);
+    result.placement = static_cast<routing::ZonePlacement>(std::min(message.placement(), lastPlacement));
     return result;
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -336,7 +336,12 @@
         { { "request", m_id }, { "service", m_service }, { "target", target.id }, { "point", slot.point },
             { "attempt", std::to_string(m_attemptCount) }, { "considered", std::to_string(slot.decision.targetCount) },
             { "risk", fmt::format("{:.2f}", slot.decision.risk) },
-            { "waiting", std::to_string(slot.decision.queuedRequests) } });
+            { "waiting", std::to_string(slot.decision.queuedRequests) },
+            { "placement", routing::toString(slot.decision.placement) } });
+    if (slot.decision.placement != routing::ZonePlacement::Home)
+        m_context.metrics.count("buckthorncroft_zone_crossing_bytes_total",
+            { { "service", m_service }, { "reason", routing::toString(slot.decision.placement) } },
+            static_cast<double>(slot.bytes));
     RunningAttempt running;
     running.slot = { m_id, m_service, m_route->kind, slot.point, slot.decision.grant };
     const auto overdueDelay = duration_cast<milliseconds>(m_route->latencyObjective * overdueFraction);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -16,6 +16,8 @@
     constexpr double maxMemoryMegabytes = 1e6;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    constexpr Milliseconds maxZoneDelay { 1000 };
     constexpr milliseconds maxDuration { 3'600'000 };
 
     // Reads a number with the unit `ms` or `s`, such as `250ms` or `2.5s`.
@@ -66,6 +68,18 @@
         table.reportUnknownKeys();
     }
 
+    void readZones(TomlReader& reader, routing::ZonePrices& prices)
+    {
+        auto table = reader.table("zones");
+        prices.pricePerGigabyte = table.number("price_per_gb", prices.pricePerGigabyte, 0, 1e6);
+        prices.pricePerMillionRequests
+            = table.number("price_per_million_requests", prices.pricePerMillionRequests, 1e-3, 1e9);
+        prices.valueLostPerSecond = table.number("value_lost_per_second", prices.valueLostPerSecond, 0, 1000);
+        const auto delay = table.number("delay_ms", Milliseconds(prices.zoneDelay).count(), 0, maxZoneDelay.count());
+        prices.zoneDelay = std::chrono::duration_cast<std::chrono::microseconds>(Milliseconds(delay));
+        table.reportUnknownKeys();
+    }
+
 } // namespace
 
 ParsedGatewaySettings parseGatewaySettings(std::string_view text, const std::string& file)
@@ -86,6 +100,7 @@
     const auto megabytes = reader.number("memory_mb", 320, minMemoryMegabytes, maxMemoryMegabytes);
     settings.memoryBudget = static_cast<std::uint64_t>(megabytes * bodyMemoryFraction * 1024 * 1024);
     readRetries(reader, settings.retries);
+    readZones(reader, settings.zonePrices);
     settings.gracePeriod = readDuration(reader, "grace", settings.gracePeriod);
     settings.logLevel = daemon::detail::readLogLevel(reader);
     reader.reportUnknownKeys();
