--- a/include/buckthorncroft/routing/fair_queue.h
+++ b/include/buckthorncroft/routing/fair_queue.h
@@ -43,6 +43,9 @@
     /// Removes the requests for which `predicate` returns true, and returns them in the order of their classes.
     std::vector<QueuedRequest> removeIf(const std::function<bool(const QueuedRequest&)>& predicate);
 
+    /// Returns the number of queued requests for which `predicate` returns true.
+    std::size_t countIf(const std::function<bool(const QueuedRequest&)>& predicate) const;
+
     /// Expected wait of `request`, which may be queued or not, at `grantsPerSecond` of the service. Assumes that more
     /// urgent requests continue to arrive at their recent rate.
     std::chrono::duration<double> expectedWait(
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -279,9 +279,10 @@
     }
     if (homeSlots <= 0)
         return false;
-    const auto ahead = std::count_if(m_queue.begin(), m_queue.end(), [&](const QueuedRequest& it) {
-        return it.request.zone == request.zone && !(it.request.key == request.key)
-            && !hasPrecedence(request, it.request, now);
+    const auto ahead = m_queue.countIf([&](const QueuedRequest& it) {
+        const bool isFirst = it.request.priority == request.priority ? !hasPrecedence(request, it.request, now)
+                                                                     : it.request.priority < request.priority;
+        return it.request.zone == request.zone && !(it.request.key == request.key) && isFirst;
     });
     const auto waited = Seconds(now - queued.queuedAt);
     // A zone whose demand rises will have less room than its current rate of finished requests shows.
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -223,6 +223,16 @@
     return result + ownAhead;
 }
 
+std::size_t FairQueue::countIf(const std::function<bool(const QueuedRequest&)>& predicate) const
+{
+    std::size_t result = 0;
+    for (const auto& [priority, requests] : m_classes) {
+        for (const auto& [workspace, flow] : requests.flows)
+            result += static_cast<std::size_t>(std::count_if(flow.requests.begin(), flow.requests.end(), predicate));
+    }
+    return result;
+}
+
 std::size_t FairQueue::moreUrgentRequests(unsigned priority) const
 {
     std::size_t result = 0;
