Give up the share of a usage point when the fleet is reunited

A point whose own instance asks another one again removes its tokens and its askers. Buckets are filled at 0.94 of the rate, and the full share needs 90 % of the fleet.

--- a/src/gateway/usage_client.cpp
+++ b/src/gateway/usage_client.cpp
@@ -102,14 +102,22 @@
     send(number, pending);
 }
 
+void UsageClient::setAskedPoint(Shard& shard, const std::string& point)
+{
+    // When this instance returns to a remote point, the others of its group do, and must not count at both.
+    if (shard.askedPoint == m_peers.self() && point != m_peers.self())
+        shard.localPoint.clear();
+    shard.askedPoint = point;
+    shard.askedAt = m_clock.now();
+}
+
 // `pending` may be completed and destroyed during the call.
 void UsageClient::send(std::uint64_t number, PendingRequest& pending)
 {
     auto& shard = *pending.shard;
     pending.sentAt = m_clock.now();
     ++pending.sendCount;
-    shard.askedPoint = pending.point;
-    shard.askedAt = pending.sentAt;
+    setAskedPoint(shard, pending.point);
     if (pending.point == m_peers.self()) {
         shard.localPoint.request({ m_peers.self(), number }, pending.workspace, pending.sentAt);
         Outbox outbox;
@@ -235,8 +243,7 @@
         const auto point = m_peers.ranking().first(it.key, now);
         if (point == it.askedPoint && now - it.askedAt < heartbeatInterval)
             continue;
-        it.askedPoint = point;
-        it.askedAt = now;
+        setAskedPoint(it, point);
         if (point == m_peers.self()) {
             it.localPoint.recordMember(m_peers.self(), now);
             continue;
--- a/src/gateway/usage_client.h
+++ b/src/gateway/usage_client.h
@@ -66,6 +66,7 @@
     static constexpr std::size_t shardCount = 4;
 
     Shard& shardOf(const std::string& workspace);
+    void setAskedPoint(Shard& shard, const std::string& point);
     void send(std::uint64_t number, PendingRequest& pending);
     void resendIfUnanswered(std::uint64_t number, PendingRequest& pending);
     void complete(std::uint64_t number, const Admission& admission, const char* reason);
--- a/src/limits/usage_point.cpp
+++ b/src/limits/usage_point.cpp
@@ -13,14 +13,14 @@
 
     // Part of the rate at which the buckets are filled. The rest covers the time in which an instance that changed its
     // point counts at both.
-    constexpr double fillFraction = 0.95;
+    constexpr double fillFraction = 0.94;
 
     // An instance counts for a point for this long after it asked.
     constexpr milliseconds memberLifetime { 800 };
 
     // A point that this part of the fleet asks fills its buckets at the full rate, so that a few lost instances do not
     // lower the caps. The other instances can add at most the remaining part.
-    constexpr double fullShareFraction = 0.85;
+    constexpr double fullShareFraction = 0.9;
 
     // A longer time between two calls of `advance` indicates a suspension.
     constexpr milliseconds maxAdvanceGap { 500 };
--- a/tests/core/usage_point_test.cpp
+++ b/tests/core/usage_point_test.cpp
@@ -101,6 +101,8 @@
         if (first == self.asked) {
             self.askedSince = m_clock.now();
         } else if (m_clock.now() - self.askedSince > 120ms) {
+            if (self.asked == n)
+                self.point.clear();
             self.asked = first;
             self.heartbeatAt = {};
         }
