Test the usage points with several caps

The separations that exceeded a cap of 200 requests a second with a burst of 100 were not covered, because the property used one cap only.

--- a/tests/core/usage_point_test.cpp
+++ b/tests/core/usage_point_test.cpp
@@ -5,6 +5,7 @@
 #include <buckthorncroft/limits/usage_point.h>
 #include <deque>
 #include <map>
+#include <ostream>
 #include <random>
 #include <rapidcheck.h>
 #include <set>
@@ -13,21 +14,32 @@
 using namespace std::chrono_literals;
 using limits::UsageVerdict;
 
+namespace buckthorncroft::limits {
+
+// RapidCheck prints the values of failing cases.
+static std::ostream& operator<<(std::ostream& out, const UsageAllowance& it)
+{
+    return out << it.ratePerSecond << "/s, burst " << it.burst;
+}
+
+} // namespace buckthorncroft::limits
+
 namespace {
 
 constexpr auto step = 20ms;
-const limits::UsageAllowance allowance { 40, 30 };
+constexpr limits::UsageAllowance usualAllowance { 40, 30 };
 
 /// Instances of which each asks one point, as `UsageClient` chooses it. Each instance sends `rate` requests of one
 /// workspace a second.
 class Fleet {
 public:
-    explicit Fleet(std::size_t size, unsigned seed = 1)
+    explicit Fleet(std::size_t size, unsigned seed = 1, const limits::UsageAllowance& allowance = usualAllowance)
         : m_instances(size)
         , m_random(seed)
+        , m_allowance(allowance)
     {
         for (auto& it : m_instances)
-            it.point.setAllowances({ { "w", allowance } });
+            it.point.setAllowances({ { "w", m_allowance } });
     }
 
     struct Instance {
@@ -42,7 +54,7 @@
     void restart(std::size_t n)
     {
         m_instances[n].point = {};
-        m_instances[n].point.setAllowances({ { "w", allowance } });
+        m_instances[n].point.setAllowances({ { "w", m_allowance } });
     }
 
     void advance(double ratePerInstance, double lossProbability = 0)
@@ -135,13 +147,17 @@
 
     std::vector<Instance> m_instances;
     std::mt19937 m_random;
+    limits::UsageAllowance m_allowance;
     base::ManualClock m_clock;
     std::uint64_t m_request = 0;
     std::set<limits::UsageKey> m_admitted;
     std::vector<base::SteadyTime> m_admittedAt;
 };
 
-constexpr double maxInWindow = (40 * 5 + 30) * 1.1 + 20;
+constexpr double maxInWindow(const limits::UsageAllowance& allowance)
+{
+    return (allowance.ratePerSecond * 5 + allowance.burst) * 1.1 + 20;
+}
 
 } // namespace
 
@@ -150,7 +166,9 @@
 BOOST_AUTO_TEST_CASE(noWindowExceedsTheCap)
 {
     BOOST_TEST(rc::check("admitted requests stay within the cap", [] {
-        Fleet fleet(20, *rc::gen::arbitrary<unsigned>());
+        const auto allowance = *rc::gen::elementOf(
+            std::vector<limits::UsageAllowance> { usualAllowance, { 40, 400 }, { 200, 100 }, { 200, 0 }, { 5, 10 } });
+        Fleet fleet(20, *rc::gen::arbitrary<unsigned>(), allowance);
         const double loss = *rc::gen::element(0.0, 0.05, 0.3);
         const double rate = *rc::gen::element(1.0, 2.0, 10.0);
         const auto events = *rc::gen::container<std::vector<unsigned>>(8, rc::gen::inRange(0u, 1000u));
@@ -167,8 +185,8 @@
             // A quiet time lets the tokens collect.
             const auto quietEnd = event % 3 == 0 ? fleet.now() + duration / 2 : fleet.now();
             while (fleet.now() < end) {
-                fleet.advance(fleet.now() < quietEnd ? 0 : rate * 4, loss);
-                RC_ASSERT(fleet.admitted(5s) <= maxInWindow);
+                fleet.advance(fleet.now() < quietEnd ? 0 : rate * allowance.ratePerSecond / 10, loss);
+                RC_ASSERT(fleet.admitted(5s) <= maxInWindow(allowance));
             }
         }
     }));
@@ -183,7 +201,7 @@
     for (int n = 0; n < 1000; ++n)
         fleet.advance(40 * 4.7 / 126);
     BOOST_TEST(fleet.admitted(10s) >= 0.9 * 40 * 10);
-    BOOST_TEST(fleet.admitted(5s) <= maxInWindow);
+    BOOST_TEST(fleet.admitted(5s) <= maxInWindow(usualAllowance));
 }
 
 // Guards against refusals of a workspace at its usual rate, also when the instance with the point is lost.
