Limit targets that shed requests to what they take

A target that took fewer requests than its slots was filled again after 200 ms, and each shed request cost its caller time and the fleet an extra attempt.

AdaptiveLimit lowers the room of a target with each shed request and raises it slowly with successes at the limit. The estimated rate of the service follows.

--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -164,7 +164,7 @@
 {
     const auto& record = target.entry.record;
     // A target without a good response since its last failure is tried with one request at a time.
-    const std::size_t limit = target.risk.isUnproven() ? 1 : record.slots;
+    const std::size_t limit = target.risk.isUnproven() ? 1 : target.limit.limit(record.slots);
     return target.slots.size() < limit && !record.draining && now >= target.saturatedUntil
         && !contains(request.excluded, record.id);
 }
@@ -340,7 +340,7 @@
             && target.risk.failureProbability(now) <= m_settings.maxIdempotentRisk;
         const double speed = target.latency.count() > 0 ? std::min(1.0, m_serviceTime / target.latency) : 1;
         if (usable)
-            result += target.entry.record.slots * speed;
+            result += target.limit.limit(target.entry.record.slots) * speed;
     }
     return std::max(1.0, result);
 }
@@ -497,7 +497,8 @@
     auto started = now - outcome.latency;
     const auto slot = std::find_if(
         target.slots.begin(), target.slots.end(), [&](const Slot& it) { return it.grant == outcome.grant; });
-    if (slot != target.slots.end()) {
+    const bool knownGrant = slot != target.slots.end();
+    if (knownGrant) {
         started = slot->grantedAt;
         updateUnknownRisk(*slot, outcome.verdict);
         target.slots.erase(slot);
@@ -506,7 +507,14 @@
     const bool shed = outcome.verdict == health::Verdict::Shed;
     if (shed)
         recordShed(target, outcome, now);
-    const bool expectedShed = shed && inUse + unexpectedShedFreeSlots > target.entry.record.slots;
+    const auto slots = target.entry.record.slots;
+    const auto limit = target.limit.limit(slots);
+    const bool expectedShed
+        = shed && (inUse + unexpectedShedFreeSlots > slots || (limit > 1 && inUse + unexpectedShedFreeSlots > limit));
+    if (shed && knownGrant)
+        target.limit.recordShed(static_cast<unsigned>(inUse), slots);
+    if (outcome.verdict == health::Verdict::Good)
+        target.limit.recordSuccess(static_cast<unsigned>(inUse), slots);
     if (!expectedShed)
         target.risk.observe(outcome.verdict, started, now);
     if (health::isSlowOrBad(outcome.verdict) || shed)
