Limit the connected targets that a slot request lists

A request to a dispatch point named every target to which the sender had an idle connection, so its size grew with the targets. It now lists at most 16; successive requests list different ones.

Covered by peer_messages_test (5 cases passed); no test of its own.

--- a/src/gateway/placement_codec.cpp
+++ b/src/gateway/placement_codec.cpp
@@ -10,6 +10,9 @@
     using std::chrono::microseconds;
     using std::chrono::milliseconds;
 
+    // Bounds the size of a request. Successive requests list different targets.
+    constexpr std::size_t maxConnectedTargets = 16;
+
     config::RequestKind toRequestKind(std::uint32_t value)
     {
         return value < config::requestKindCount ? static_cast<config::RequestKind>(value)
@@ -39,8 +42,10 @@
     message.set_workspace(request.workspace);
     message.set_request_bytes(request.requestBytes);
     message.set_response_bytes(request.responseBytes);
-    for (const auto& it : request.connectedTargets)
-        message.add_warm(it);
+    const auto connected = request.connectedTargets.size();
+    const auto first = connected > maxConnectedTargets ? request.key.request * maxConnectedTargets % connected : 0;
+    for (std::size_t n = 0; n < std::min(connected, maxConnectedTargets); ++n)
+        message.add_warm(request.connectedTargets[(first + n) % connected]);
     for (const auto& it : request.excluded)
         message.add_excluded(it);
     for (const auto& it : held) {
