Count messages and bytes between instances by kind

Which kind of message fills the link of an instance could not be seen. The channel now counts datagrams and bytes in both directions by kind.

--- a/src/gateway/peer_channel.cpp
+++ b/src/gateway/peer_channel.cpp
@@ -48,6 +48,7 @@
     wire::proto::PeerDatagram datagram;
     if (!datagram.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || datagram.sender().empty())
         return false;
+    m_received.record(kindOf(datagram), size);
     try {
         m_receiver(datagram, m_sender);
         return true;
@@ -64,6 +65,8 @@
         m_socket.send_to(http::asio::buffer(m_encoded), to, 0, ec);
     if (ec)
         ++m_unsentCount;
+    else
+        m_sent.record(kindOf(datagram), m_encoded.size());
 }
 
 void PeerChannel::close()
--- a/src/gateway/peer_channel.h
+++ b/src/gateway/peer_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../http/asio.h"
+#include "peer_traffic.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -21,6 +22,9 @@
     using Receiver = std::function<void(const wire::proto::PeerDatagram&, const udp::endpoint&)>;
 
     explicit PeerChannel(http::asio::io_context& io);
+    virtual ~PeerChannel() = default;
+    PeerChannel(const PeerChannel&) = delete;
+    PeerChannel& operator=(const PeerChannel&) = delete;
 
     /// Binds the socket to `address`. Errors: `Unavailable`.
     base::Result<void> open(const daemon::Endpoint& address);
@@ -30,12 +34,14 @@
     void startReceiving(Receiver receiver);
 
     /// Sends without blocking. A datagram that cannot be sent is counted and dropped.
-    void send(const wire::proto::PeerDatagram& datagram, const udp::endpoint& to);
+    virtual void send(const wire::proto::PeerDatagram& datagram, const udp::endpoint& to);
 
     void close();
 
     std::uint64_t malformedCount() const { return m_malformedCount; }
     std::uint64_t unsentCount() const { return m_unsentCount; }
+    PeerTraffic& sent() { return m_sent; }
+    PeerTraffic& received() { return m_received; }
 
 private:
     void receiveNext();
@@ -46,6 +52,8 @@
     udp::endpoint m_sender;
     Receiver m_receiver;
     std::string m_encoded; ///< Send buffer; a member so that its memory is reused.
+    PeerTraffic m_sent;
+    PeerTraffic m_received;
     std::uint64_t m_malformedCount = 0;
     std::uint64_t m_unsentCount = 0;
 };
