Relay routes of any size and read targets by zone in large fleets

Routes above 24 kB were read from the registry by each instance, smaller ones were sent by two readers to their whole zone at once, and three readers sent each delta to all instances. An instance that had heard of newer routes answered 404 for requests that those routes may match.

The registry is read after 350 to 600 ms, or up to 1.2 s while pieces arrive. - Every datagram carries the version of the routes. - Bytes and messages between instances by kind are exported as metrics.

--- a/src/gateway/gateway_control.cpp
+++ b/src/gateway/gateway_control.cpp
@@ -15,6 +15,8 @@
     // After a suspension of the machine longer than this, the state received from other instances is treated as stale.
     constexpr milliseconds suspensionThreshold { 500 };
 
+    constexpr milliseconds trafficExportInterval { 1000 };
+
     std::uint64_t randomNumber()
     {
         std::random_device device;
@@ -39,6 +41,7 @@
     : m_settings(settings)
     , m_clock(clock)
     , m_log(log)
+    , m_metrics(metrics)
     , m_snapshots(snapshots)
     , m_traffic(traffic)
     , m_onResume(std::move(onResume))
@@ -80,7 +83,25 @@
 
 void GatewayControl::publishSnapshot()
 {
-    m_snapshots.publish(std::make_shared<const GatewaySnapshot>(GatewaySnapshot { m_routes, m_targets }));
+    m_mayBeOutdated = m_watcher.mayBeOutdated();
+    m_snapshots.publish(
+        std::make_shared<const GatewaySnapshot>(GatewaySnapshot { m_routes, m_targets, m_mayBeOutdated }));
+}
+
+void GatewayControl::publishIfOutdatedChanged()
+{
+    if (m_watcher.mayBeOutdated() != m_mayBeOutdated)
+        publishSnapshot();
+}
+
+void GatewayControl::exportTraffic()
+{
+    const auto now = m_clock.now();
+    if (now - m_trafficExportedAt < trafficExportInterval)
+        return;
+    m_trafficExportedAt = now;
+    m_channel.sent().exportTo(m_metrics, "sent");
+    m_channel.received().exportTo(m_metrics, "received");
 }
 
 base::Result<void> GatewayControl::start()
@@ -108,11 +129,15 @@
 {
     if (!m_peers.handle(datagram, from))
         return;
+    m_watcher.notePeerContact();
     if (const auto delta = m_relay.handle(datagram))
         m_watcher.applyDelta(*delta);
     m_watcher.noteRouteVersion(datagram.news().route_version());
     if (datagram.has_routes())
         m_watcher.applyRelayedRoutes(datagram.routes().version(), datagram.routes().document());
+    if (const auto routes = m_relay.routes().handle(datagram))
+        m_watcher.applyRelayedRoutes(routes->version, routes->bytes);
+    publishIfOutdatedChanged();
     for (const auto& it : datagram.leaving()) {
         if (membership::isValidName(it.id()))
             m_watcher.markLeaving({ it.id(), it.born() });
@@ -160,6 +185,9 @@
         http::asio::post(m_traffic, m_onResume);
     }
     m_placement.tick();
+    m_relay.routes().tick();
+    publishIfOutdatedChanged();
+    exportTraffic();
 }
 
 std::uint64_t GatewayControl::requestSlot(SlotQuery query, PlacementClient::Callback callback)
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -43,6 +43,8 @@
     RegistryWatcher::Handlers makeWatcherHandlers();
     void handleDatagram(const wire::proto::PeerDatagram& datagram, const udp::endpoint& from);
     void publishSnapshot();
+    void publishIfOutdatedChanged();
+    void exportTraffic();
     void scheduleTick();
     void tick();
     bool wasSuspended();
@@ -50,6 +52,7 @@
     const GatewaySettings& m_settings;
     const base::Clock& m_clock;
     const observe::Logger& m_log;
+    observe::Metrics& m_metrics;
     GatewaySnapshotHolder& m_snapshots;
     http::asio::io_context& m_traffic;
     std::function<void()> m_onResume;
@@ -64,6 +67,8 @@
     RegistryWatcher m_watcher;
     std::shared_ptr<const routing::RouteTable> m_routes;
     std::shared_ptr<const membership::TargetSet> m_targets;
+    base::SteadyTime m_trafficExportedAt {};
+    bool m_mayBeOutdated = false; ///< As published.
     std::map<std::uint64_t, std::uint64_t> m_requestNumbers; ///< Number of each pending slot request, by token.
     std::uint64_t m_nextToken = 1; ///< Used only by the traffic thread.
     std::chrono::nanoseconds m_suspendedTime { 0 }; ///< Time suspended since boot, as of the last tick.
--- a/src/gateway/peer_group.cpp
+++ b/src/gateway/peer_group.cpp
@@ -1,5 +1,7 @@
 #include "peer_group.h"
 
+#include <algorithm>
+
 namespace buckthorncroft::gateway {
 
 namespace {
@@ -38,6 +40,7 @@
     wire::proto::PeerDatagram result;
     result.set_sender(m_settings.instance);
     result.set_incarnation(m_incarnation);
+    result.set_route_version(m_routeVersion);
     return result;
 }
 
@@ -97,21 +100,31 @@
         m_channel.send(message, address);
 }
 
-void PeerGroup::sendToZone(const wire::proto::PeerDatagram& message)
+void PeerGroup::sendToZone(const std::string& zone, const wire::proto::PeerDatagram& message)
 {
-    for (const auto& [instance, zone] : m_zones) {
-        if (zone == m_settings.zone)
+    for (const auto& [instance, itsZone] : m_zones) {
+        if (itsZone == zone)
             send(instance, message);
     }
 }
 
+std::string PeerGroup::zoneOf(const std::string& instance) const
+{
+    const auto it = m_zones.find(instance);
+    return it == m_zones.end() ? std::string() : it->second;
+}
+
+bool PeerGroup::isInZone(const std::string& instance) const
+{
+    const auto it = m_zones.find(instance);
+    return instance == self() || (it != m_zones.end() && it->second == m_settings.zone);
+}
+
 std::vector<std::string> PeerGroup::zoneTop(const std::string& key, std::size_t count)
 {
     std::vector<std::string> result;
     for (const auto& it : m_ranking.top(key, m_addresses.size() + 1, m_clock.now())) {
-        const auto zone = m_zones.find(it);
-        const bool isInZone = it == self() || (zone != m_zones.end() && zone->second == m_settings.zone);
-        if (isInZone && result.size() < count)
+        if (result.size() < count && isInZone(it))
             result.push_back(it);
     }
     return result;
@@ -134,9 +147,10 @@
         if (it.leaving())
             m_ranking.markLeaving(sender);
         replyWanted = replyWanted || it.reply_wanted();
-        if (m_onPeerRouteVersion && it.route_version() > m_routeVersion)
-            m_onPeerRouteVersion(it.route_version());
     }
+    const auto routeVersion = std::max(datagram.route_version(), datagram.presence().route_version());
+    if (m_onPeerRouteVersion && routeVersion > m_routeVersion)
+        m_onPeerRouteVersion(routeVersion);
     if (replyWanted)
         m_channel.send(makePresence(m_leaving, false), from);
     return true;
--- a/src/gateway/peer_group.h
+++ b/src/gateway/peer_group.h
@@ -36,7 +36,7 @@
     /// Announces to all known instances that this one is present or, with `leaving`, that it is shutting down.
     void announce(bool leaving);
 
-    /// Sets the version of the routes in force, which the presence messages carry.
+    /// Sets the version of the routes in force, which all messages carry.
     void setRouteVersion(std::uint64_t version) { m_routeVersion = version; }
 
     /// Sets the function that returns the leaving targets, which the presence messages carry.
@@ -60,8 +60,18 @@
     void send(const std::string& instance, const wire::proto::PeerDatagram& message);
     void sendToAll(const wire::proto::PeerDatagram& message);
 
-    /// Sends to the known instances in the availability zone of this one.
-    void sendToZone(const wire::proto::PeerDatagram& message);
+    /// Sends to the known instances in an availability zone.
+    void sendToZone(const std::string& zone, const wire::proto::PeerDatagram& message);
+
+    /// Returns the availability zone of a known instance, or an empty string.
+    std::string zoneOf(const std::string& instance) const;
+    const std::string& ownZone() const { return m_settings.zone; }
+
+    /// Number of known instances, including this one.
+    std::size_t size() const { return m_addresses.size() + 1; }
+
+    /// Whether the instance is in the availability zone of this one.
+    bool isInZone(const std::string& instance) const;
 
     /// Returns up to `count` available instances in the availability zone of this one that rank first for `key`,
     /// including this one.
--- a/src/gateway/registry_relay.cpp
+++ b/src/gateway/registry_relay.cpp
@@ -18,14 +18,6 @@
     // 2 s.
     constexpr milliseconds readerTimeout { 1300 };
 
-    // Key under which the instances of a zone are ranked as readers of new routes.
-    constexpr const char* zoneReadersKey = "zone-readers";
-    constexpr std::size_t zoneReaderCount = 2;
-
-    // Larger routes are not sent, because they would occupy the link of a small machine for too long. Each instance
-    // then reads them from the registry.
-    constexpr std::size_t maxRoutesBytes = 24'000;
-
     // How long an instance that cannot reach the registry is not considered as reader.
     constexpr milliseconds readerExclusionTtl { 3000 };
     constexpr milliseconds unreachableRepeatInterval { 1000 };
@@ -60,6 +52,7 @@
 RegistryRelay::RegistryRelay(const base::Clock& clock, PeerGroup& peers)
     : m_clock(clock)
     , m_peers(peers)
+    , m_routes(clock, peers)
     , m_lastDeltaAt(clock.now())
 {
 }
@@ -71,10 +64,10 @@
     if (!m_arePeersKnown && !isDeltaOverdue)
         return ReaderRole::None;
     std::erase_if(m_excludedUntil, [now](const auto& it) { return now >= it.second; });
-    const auto ranked = m_peers.ranking().top(readersKey, readerCount + m_excludedUntil.size(), now);
+    const auto count = hasZoneReaders() ? zoneReaderCount : readerCount;
     std::size_t readersAhead = 0;
-    for (const auto& it : ranked) {
-        if (readersAhead >= readerCount)
+    for (const auto& it : rankReaders(count + m_excludedUntil.size())) {
+        if (readersAhead >= count)
             break;
         if (it == m_peers.self())
             return ReaderRole::Reader;
@@ -84,6 +77,26 @@
     return isDeltaOverdue ? ReaderRole::Standalone : ReaderRole::None;
 }
 
+std::vector<std::string> RegistryRelay::rankReaders(std::size_t count)
+{
+    // The readers of a zone also distribute its routes.
+    return hasZoneReaders() ? m_peers.zoneTop(RoutesTransfer::rankingKey, count)
+                            : m_peers.ranking().top(readersKey, count, m_clock.now());
+}
+
+void RegistryRelay::sendToReceivers(const wire::proto::PeerDatagram& message)
+{
+    if (!hasZoneReaders()) {
+        m_peers.sendToAll(message);
+        return;
+    }
+    m_peers.sendToZone(m_peers.ownZone(), message);
+    const auto now = m_clock.now();
+    std::erase_if(m_helpedUntil, [now](const auto& it) { return now >= it.second; });
+    for (const auto& [zone, until] : m_helpedUntil)
+        m_peers.sendToZone(zone, message);
+}
+
 void RegistryRelay::sendDelta(const TargetDelta& delta, const std::vector<membership::LeavingTarget>& leaving)
 {
     auto message = m_peers.makeMessage();
@@ -114,7 +127,7 @@
         part.clear_entries();
         part.set_from(delta.toVersion);
     }
-    m_peers.sendToAll(message);
+    sendToReceivers(message);
 }
 
 void RegistryRelay::sendRegistryUnreachable()
@@ -130,7 +143,7 @@
 
 bool RegistryRelay::isZoneReader()
 {
-    const auto readers = m_peers.zoneTop(zoneReadersKey, zoneReaderCount);
+    const auto readers = m_peers.zoneTop(RoutesTransfer::rankingKey, zoneReaderCount);
     return std::find(readers.begin(), readers.end(), m_peers.self()) != readers.end();
 }
 
@@ -138,17 +151,7 @@
 {
     auto message = m_peers.makeMessage();
     message.mutable_news()->set_route_version(m_peers.routeVersion());
-    m_peers.sendToAll(message);
-}
-
-void RegistryRelay::sendRoutes(std::uint64_t version, const std::string& document)
-{
-    if (document.size() > maxRoutesBytes)
-        return;
-    auto message = m_peers.makeMessage();
-    message.mutable_routes()->set_version(version);
-    message.mutable_routes()->set_document(document);
-    m_peers.sendToZone(message);
+    sendToReceivers(message);
 }
 
 void RegistryRelay::sendLeaving(const membership::LeavingTarget& target)
@@ -166,6 +169,8 @@
     const auto& part = datagram.news();
     if (part.registry_lost()) {
         m_excludedUntil[datagram.sender()] = now + readerExclusionTtl;
+        if (const auto zone = m_peers.zoneOf(datagram.sender()); !zone.empty() && zone != m_peers.ownZone())
+            m_helpedUntil[zone] = now + readerExclusionTtl;
         return std::nullopt;
     }
     if (part.to() == 0)
--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -13,8 +13,19 @@
     // until this timeout and the one of the call have passed.
     constexpr milliseconds routesWaitTimeout { 800 };
 
-    // How long an instance waits for new routes from the readers of its zone before it reads them itself.
-    constexpr milliseconds zoneRelayTimeout { 250 };
+    // How long an instance waits for new routes from its zone before it reads them itself, and for how much longer if
+    // pieces of them arrive. A random time up to the jitter is added, so that the instances do not read all at once.
+    constexpr milliseconds zoneRelayTimeout { 350 };
+    constexpr milliseconds zoneRelayProgressTimeout { 300 };
+    constexpr milliseconds maxZoneRelayTime { 1200 };
+    constexpr milliseconds zoneRelayJitter { 250 };
+
+    // Interval of reads while the registry does not return the version that a peer announced.
+    constexpr milliseconds minRoutesReadDelay { 500 };
+    constexpr milliseconds maxRoutesReadDelay { 30'000 };
+
+    // After this time without contact with the registry or a peer, the routes may be outdated.
+    constexpr milliseconds contactTimeout { 3000 };
 
     // After the list of instances was read, instances that start at the same time announce themselves within this time.
     constexpr milliseconds roleSettleTime { 300 };
@@ -46,6 +57,8 @@
     , m_relay(relay)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
+    , m_lastContactAt(clock.now())
+    , m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string> {}(m_self.instance)))
     , m_routesTimer(io)
     , m_removalTimer(io)
     , m_targetsRetryDelay(minRetryDelay)
@@ -87,6 +100,7 @@
 {
     m_routesStale = true;
     m_targetsStale = true;
+    m_lastContactAt = {};
     m_routesTimer.cancel();
 }
 
@@ -116,7 +130,7 @@
     while (true) {
         if (std::exchange(m_routesStale, false))
             m_routesRegistryVersion = 0;
-        const bool isFullRead = m_routesRegistryVersion == 0 || m_clock.now() >= m_readRoutesAt;
+        const bool isFullRead = m_routesRegistryVersion == 0 || isRoutesReadDue();
         if (!isFullRead && m_relay.role() == ReaderRole::None) {
             co_await waitForRouteNews();
             continue;
@@ -126,11 +140,10 @@
         auto update = co_await std::move(operation);
         if (update) {
             recordSuccess("routes", m_routesUnreachable);
-            if (isFullRead) {
-                m_readRoutesAt = base::SteadyTime::max();
-                m_wantedRoutesVersion = 0;
-            }
+            m_lastContactAt = m_clock.now();
             applyRoutes(update.value());
+            if (isFullRead && m_wantedRoutesVersion != 0)
+                scheduleRoutesRetry();
             continue;
         }
         m_routesRegistryVersion = 0;
@@ -141,6 +154,26 @@
     }
 }
 
+// Whether the wanted routes must be read from the registry, because the peers have not sent them.
+bool RegistryWatcher::isRoutesReadDue()
+{
+    const auto now = m_clock.now();
+    if (now < m_readRoutesAt)
+        return false;
+    const auto progressAt = m_relay.routes().lastProgressAt();
+    if (progressAt + zoneRelayProgressTimeout <= now || now - m_routesWantedAt >= maxZoneRelayTime)
+        return true;
+    m_readRoutesAt = progressAt + zoneRelayProgressTimeout;
+    return false;
+}
+
+// The registry does not hold the version that a peer announced.
+void RegistryWatcher::scheduleRoutesRetry()
+{
+    m_routesReadDelay = std::clamp(m_routesReadDelay * 2, minRoutesReadDelay, maxRoutesReadDelay);
+    m_readRoutesAt = m_clock.now() + m_routesReadDelay;
+}
+
 // Waits until there may be something to do for an instance that does not wait for routes at the registry.
 http::Awaitable<void> RegistryWatcher::waitForRouteNews()
 {
@@ -154,10 +187,19 @@
     if (version <= m_appliedRoutesVersion || version <= m_wantedRoutesVersion)
         return;
     m_wantedRoutesVersion = version;
-    m_readRoutesAt = m_clock.now() + (m_relay.isZoneReader() ? milliseconds(0) : zoneRelayTimeout);
+    m_routesWantedAt = m_clock.now();
+    m_routesReadDelay = milliseconds(0);
+    m_relay.routes().want(version);
+    const milliseconds jitter(std::uniform_int_distribution<int>(0, zoneRelayJitter.count())(m_random));
+    m_readRoutesAt = m_routesWantedAt + (m_relay.isZoneReader() ? milliseconds(0) : zoneRelayTimeout + jitter);
     m_routesTimer.cancel();
 }
 
+bool RegistryWatcher::mayBeOutdated() const
+{
+    return m_wantedRoutesVersion > m_appliedRoutesVersion || m_clock.now() - m_lastContactAt > contactTimeout;
+}
+
 void RegistryWatcher::applyRelayedRoutes(std::uint64_t version, const std::string& document)
 {
     if (version <= m_appliedRoutesVersion)
@@ -167,9 +209,10 @@
         m_log.write(observe::Level::Warning, "relayed_routes_rejected",
             { { "version", std::to_string(version) },
                 { "reason", routes ? "the version differs" : routes.error().message } });
+        m_relay.routes().reject(version);
         return;
     }
-    installRoutes(routes.value(), "peer");
+    installRoutes(routes.value(), document, "peer");
 }
 
 void RegistryWatcher::applyRoutes(const RoutesUpdate& update)
@@ -179,17 +222,17 @@
         m_log.write(observe::Level::Error, "routes_rejected",
             { { "reason", update.problem }, { "in_force", std::to_string(m_appliedRoutesVersion) } });
     }
-    if (!update.routes || !installRoutes(*update.routes, "registry"))
+    if (!update.routes || !installRoutes(*update.routes, update.document, "registry"))
         return;
     const bool isReader = m_relay.role() == ReaderRole::Reader;
     if (isReader)
         m_relay.sendRouteVersion();
     if (isReader || m_relay.isZoneReader())
-        m_relay.sendRoutes(update.routes->version, update.document);
+        m_relay.routes().distribute();
 }
 
 // A process never returns to older routes, even if the registry does.
-bool RegistryWatcher::installRoutes(const routing::RouteSet& routes, const char* source)
+bool RegistryWatcher::installRoutes(const routing::RouteSet& routes, const std::string& document, const char* source)
 {
     if (routes.version <= m_appliedRoutesVersion)
         return false;
@@ -197,6 +240,7 @@
         { { "version", std::to_string(routes.version) }, { "previous", std::to_string(m_appliedRoutesVersion) },
             { "routes", std::to_string(routes.routes.size()) }, { "source", source } });
     m_appliedRoutesVersion = routes.version;
+    m_relay.routes().setCurrent({ routes.version, document });
     if (m_wantedRoutesVersion <= routes.version) {
         m_wantedRoutesVersion = 0;
         m_readRoutesAt = base::SteadyTime::max();
@@ -238,6 +282,7 @@
         m_outage.recordReadFailure();
     if (update) {
         recordSuccess("targets", m_targetsUnreachable);
+        m_lastContactAt = m_clock.now();
         m_targetsRetryDelay = minRetryDelay;
         applyTargets(update.value(), isFullListing);
         co_return;
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -9,6 +9,7 @@
 #include <buckthorncroft/observe/metrics.h>
 #include <functional>
 #include <map>
+#include <random>
 
 namespace buckthorncroft::gateway {
 
@@ -43,6 +44,13 @@
     /// routes are read unless they arrive from a peer first.
     void noteRouteVersion(std::uint64_t version);
 
+    /// Whether newer routes may be in force elsewhere: a peer announced them, or neither the registry nor a peer was in
+    /// contact recently.
+    bool mayBeOutdated() const;
+
+    /// Records that a message of another instance arrived.
+    void notePeerContact() { m_lastContactAt = m_clock.now(); }
+
     /// Applies routes that another instance read from the registry.
     void applyRelayedRoutes(std::uint64_t version, const std::string& document);
 
@@ -61,7 +69,9 @@
     http::Awaitable<void> sleepFor(std::chrono::milliseconds time);
     http::Awaitable<void> waitForRouteNews();
     void applyRoutes(const RoutesUpdate& update);
-    bool installRoutes(const routing::RouteSet& routes, const char* source);
+    bool installRoutes(const routing::RouteSet& routes, const std::string& document, const char* source);
+    bool isRoutesReadDue();
+    void scheduleRoutesRetry();
     http::Awaitable<void> pollTargets();
     void applyTargets(const TargetsUpdate& update, bool isFullListing);
     void replaceTargets(const TargetsUpdate& update);
@@ -85,6 +95,10 @@
     std::uint64_t m_appliedRoutesVersion = 0; ///< Version of the routes in force.
     RegistryVersion m_routesRegistryVersion = 0; ///< 0: the next read is a full read.
     std::uint64_t m_wantedRoutesVersion = 0; ///< Newest version that a peer announced and that is not in force yet.
+    base::SteadyTime m_routesWantedAt {}; ///< When the wanted version was announced.
+    base::SteadyTime m_lastContactAt {}; ///< With the registry or a peer.
+    std::chrono::milliseconds m_routesReadDelay { 0 }; ///< Interval of reads that do not return the wanted version.
+    std::minstd_rand m_random;
     base::SteadyTime m_readRoutesAt = base::SteadyTime::max(); ///< When the wanted routes are read from the registry.
     http::asio::steady_timer m_routesTimer; ///< Cancelled when there is news about routes.
     RegistryVersion m_targetsRegistryVersion = 0; ///< 0: the next read is a full listing.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -163,6 +163,8 @@
     if (!m_snapshot->isComplete())
         return reject(503, "there are no routes yet");
     m_route = lookUpRoute(*m_snapshot, m_request);
+    if (!m_route && m_snapshot->mayBeOutdated)
+        return reject(503, "the routes may be outdated");
     if (!m_route)
         return reject(404, "no route matches");
     m_deadline = responseDueAt(m_request, *m_route, m_context.names, m_arrivedAt);
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -22,6 +22,7 @@
 struct GatewaySnapshot {
     std::shared_ptr<const routing::RouteTable> routes; ///< Null until routes have been read.
     std::shared_ptr<const membership::TargetSet> targets; ///< Null until the targets have been listed.
+    bool mayBeOutdated = false; ///< Newer routes may be in force elsewhere.
 
     bool isComplete() const { return routes && targets; }
 };
