--- a/src/gateway/registry_watcher.cpp
+++ b/src/gateway/registry_watcher.cpp
@@ -239,6 +239,7 @@
     m_log.write(observe::Level::Info, "routes_applied",
         { { "version", std::to_string(routes.version) }, { "previous", std::to_string(m_appliedRoutesVersion) },
             { "routes", std::to_string(routes.routes.size()) }, { "source", source } });
+    reportWorkspaceProblems(routes);
     m_appliedRoutesVersion = routes.version;
     m_relay.routes().setCurrent({ routes.version, document });
     if (m_wantedRoutesVersion <= routes.version) {
@@ -249,6 +250,20 @@
     return true;
 }
 
+// Entries that cannot be read are left out; the other workspaces and keys hold.
+void RegistryWatcher::reportWorkspaceProblems(const routing::RouteSet& routes)
+{
+    const auto& problems = routes.workspaceProblems;
+    m_metrics.set("buckthorncroft_workspaces_ignored", {}, static_cast<double>(problems.workspaces));
+    m_metrics.set("buckthorncroft_workspace_keys_ignored", {}, static_cast<double>(problems.keys));
+    if (problems.isEmpty())
+        return;
+    m_log.write(observe::Level::Warning, "workspaces_ignored",
+        { { "version", std::to_string(routes.version) }, { "workspaces", std::to_string(problems.workspaces) },
+            { "keys", std::to_string(problems.keys) },
+            { "reason", fmt::format("{}", fmt::join(problems.reasons, "; ")) } });
+}
+
 http::Awaitable<void> RegistryWatcher::watchTargets()
 {
     while (true) {
--- a/src/gateway/registry_watcher.h
+++ b/src/gateway/registry_watcher.h
@@ -70,6 +70,7 @@
     http::Awaitable<void> waitForRouteNews();
     void applyRoutes(const RoutesUpdate& update);
     bool installRoutes(const routing::RouteSet& routes, const std::string& document, const char* source);
+    void reportWorkspaceProblems(const routing::RouteSet& routes);
     bool isRoutesReadDue();
     void scheduleRoutesRetry();
     http::Awaitable<void> pollTargets();
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -750,18 +750,28 @@
 void DispatchPoint::dispatchQueue(base::SteadyTime now)
 {
     std::vector<const QueuedRequest*> skipped;
+    // The requests behind one that waits for its zone wait at least as long.
+    std::set<std::pair<std::string, config::RequestKind>> waitingGroups;
     unsigned failedPlacements = 0;
     while (failedPlacements < maxFailedPlacements && skipped.size() < maxSkippedRequests) {
         const auto* next = m_queue.next(skipped, now);
         if (!next)
             return;
+        const std::pair group(next->request.zone, next->request.kind);
+        if (waitingGroups.contains(group)) {
+            skipped.push_back(next);
+            continue;
+        }
         const auto attempt = tryGrant(*next, now);
         if (attempt == GrantAttempt::Granted) {
             m_queue.removeGranted(*next);
             continue;
         }
         // A request that waits for its own zone does not show that the other zones have no slot.
-        failedPlacements += attempt == GrantAttempt::NoTarget;
+        if (attempt == GrantAttempt::WaitsForHome)
+            waitingGroups.insert(group);
+        else
+            ++failedPlacements;
         skipped.push_back(next);
     }
 }
