--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -2,7 +2,6 @@
 
 #include <buckthorncroft/config/model.h>
 #include <buckthorncroft/health/target_risk.h>
-#include <buckthorncroft/limits/adaptive_limit.h>
 #include <buckthorncroft/limits/fleet_retry_budget.h>
 #include <buckthorncroft/limits/rate_meter.h>
 #include <buckthorncroft/membership/target_directory.h>
@@ -187,7 +186,6 @@
         membership::DirectoryEntry entry;
         health::TargetRisk risk;
         std::vector<Slot> slots;
-        limits::AdaptiveLimit limit;
         std::chrono::duration<double> latency { 0 }; ///< Smoothed; 0 when unknown.
         base::SteadyTime saturatedUntil {}; ///< The target shed a request and receives none before this time.
         std::string pausedInstance; ///< Instance that the target last asked to pause.
--- a/src/routing/dispatch_point.cpp
+++ b/src/routing/dispatch_point.cpp
@@ -189,7 +189,7 @@
 {
     const auto& record = target.entry.record;
     // A target without a good response since its last failure is tried with one request at a time.
-    const std::size_t limit = target.risk.isUnproven() ? 1 : target.limit.limit(record.slots);
+    const std::size_t limit = target.risk.isUnproven() ? 1 : record.slots;
     return target.slots.size() < limit && !record.draining && now >= target.saturatedUntil
         && !contains(request.excluded, record.id);
 }
@@ -498,7 +498,7 @@
             && target.risk.failureProbability(now) <= m_settings.maxIdempotentRisk;
         const double speed = target.latency.count() > 0 ? std::min(1.0, m_serviceTime / target.latency) : 1;
         if (usable)
-            result += target.limit.limit(target.entry.record.slots) * speed;
+            result += target.entry.record.slots * speed;
     }
     return std::max(1.0, result);
 }
@@ -656,8 +656,7 @@
     auto started = now - outcome.latency;
     const auto slot = std::find_if(
         target.slots.begin(), target.slots.end(), [&](const Slot& it) { return it.grant == outcome.grant; });
-    const bool knownGrant = slot != target.slots.end();
-    if (knownGrant) {
+    if (slot != target.slots.end()) {
         started = slot->grantedAt;
         updateUnknownRisk(*slot, outcome.verdict);
         target.slots.erase(slot);
@@ -666,14 +665,7 @@
     const bool shed = outcome.verdict == health::Verdict::Shed;
     if (shed)
         recordShed(target, outcome, now);
-    const auto slots = target.entry.record.slots;
-    const auto limit = target.limit.limit(slots);
-    const bool expectedShed
-        = shed && (inUse + unexpectedShedFreeSlots > slots || (limit > 1 && inUse + unexpectedShedFreeSlots > limit));
-    if (shed && knownGrant)
-        target.limit.recordShed(static_cast<unsigned>(inUse), slots);
-    if (outcome.verdict == health::Verdict::Good)
-        target.limit.recordSuccess(static_cast<unsigned>(inUse), slots);
+    const bool expectedShed = shed && inUse + unexpectedShedFreeSlots > target.entry.record.slots;
     if (!expectedShed)
         target.risk.observe(outcome.verdict, started, now);
     if (health::isSlowOrBad(outcome.verdict) || shed)
