Read targets by zone from 200 instances on, and satisfy the linter

What the readers of a zone save, bytes between zones and one instance's link, counts in larger fleets.

--- a/include/buckthorncroft/limits/usage_point.h
+++ b/include/buckthorncroft/limits/usage_point.h
@@ -2,12 +2,12 @@
 
 #include <buckthorncroft/base/clock.h>
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace buckthorncroft::limits {
@@ -23,7 +23,11 @@
     std::string instance;
     std::uint64_t request = 0;
 
-    auto operator<=>(const UsageKey&) const = default;
+    bool operator==(const UsageKey&) const = default;
+    bool operator<(const UsageKey& other) const
+    {
+        return std::tie(instance, request) < std::tie(other.instance, other.request);
+    }
 };
 
 enum class UsageVerdict {
--- a/src/gateway/registry_relay.h
+++ b/src/gateway/registry_relay.h
@@ -35,7 +35,7 @@
 public:
     /// Number of instances from which each availability zone has readers of its own. Those of a smaller fleet read for
     /// all zones, because each call to the registry is charged.
-    static constexpr std::size_t zoneReadingSize = 100;
+    static constexpr std::size_t zoneReadingSize = 200;
 
     /// Number of readers of a zone.
     static constexpr std::size_t zoneReaderCount = 2;
--- a/tests/core/zone_dispatch_test.cpp
+++ b/tests/core/zone_dispatch_test.cpp
@@ -64,7 +64,6 @@
         int refused = 0;
         int failed = 0;
         std::vector<double> waits; ///< Seconds from the request to the grant.
-
         std::vector<double> latencies; ///< Seconds from the request to the good response.
 
         static double mean(const std::vector<double>& values)
@@ -83,7 +82,7 @@
         }
     };
 
-    ZoneSimulation(std::vector<unsigned> targetsPerZone, std::function<double(unsigned, Seconds)> demand)
+    ZoneSimulation(const std::vector<unsigned>& targetsPerZone, std::function<double(unsigned, Seconds)> demand)
         : targets(makeTargets(targetsPerZone, clock.now()))
         , rate(std::move(demand))
         , results(targetsPerZone.size())
@@ -163,10 +162,10 @@
                 ? std::chrono::microseconds(5000)
                 : std::chrono::microseconds(std::uniform_int_distribution<int>(220'000, 420'000)(random));
             schedule(clock.now() + latency, [this, it, request, latency, fails] {
-                auto& end_ = results[request.zone];
-                ++(fails ? end_.failed : end_.served);
+                auto& ended = results[request.zone];
+                ++(fails ? ended.failed : ended.served);
                 if (!fails)
-                    end_.latencies.push_back(Seconds(clock.now() - request.at).count());
+                    ended.latencies.push_back(Seconds(clock.now() - request.at).count());
                 point.recordOutcome(
                     { it.key.instance, it.grant, it.target, kind, fails ? Verdict::Truncated : Verdict::Good, latency },
                     clock.now());
@@ -271,7 +270,7 @@
     std::vector<ZoneResult> results;
 };
 
-std::function<double(unsigned, Seconds)> constantDemand(std::vector<double> perZone)
+std::function<double(unsigned, Seconds)> constantDemand(const std::vector<double>& perZone)
 {
     return [perZone](unsigned zone, Seconds) { return perZone[zone]; };
 }
--- a/tests/core/zone_failure_test.cpp
+++ b/tests/core/zone_failure_test.cpp
@@ -113,6 +113,7 @@
     for (const bool slotBecomesFree : { true, false }) {
         Fixture f;
         std::vector<routing::DispatchDecision> granted;
+        granted.reserve(4);
         for (int n = 0; n < 4; ++n)
             granted.push_back(*f.request("a"));
         BOOST_REQUIRE(!f.request("a").has_value());
