--- a/tests/gateway/workspace_keys_test.cpp
+++ b/tests/gateway/workspace_keys_test.cpp
@@ -6,6 +6,7 @@
 #include "flow_fixture.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
