--- a/tests/gateway/fleet_growth_test.cpp
+++ b/tests/gateway/fleet_growth_test.cpp
@@ -80,7 +80,8 @@
 // Guards against a zone without deltas because the registry is silent to all of its instances.
 BOOST_AUTO_TEST_CASE(readersHelpAZoneThatCannotReachTheRegistry)
 {
-    Fleet fleet(100, zoneCount);
+    constexpr auto zoneSize = RegistryRelay::zoneReadingSize / zoneCount;
+    Fleet fleet(RegistryRelay::zoneReadingSize, zoneCount);
     auto& reader = *findReaders(fleet).front();
     wire::proto::PeerDatagram datagram;
     datagram.set_sender("g1");
@@ -88,8 +89,8 @@
     reader.part.handle(datagram);
     fleet.network.datagrams.clear();
     reader.part.sendDelta(makeDelta(), {});
-    BOOST_TEST(countReceivers(fleet)["z1"] == 20u);
-    BOOST_TEST(countReceivers(fleet)["z0"] == 19u);
+    BOOST_TEST(countReceivers(fleet)["z1"] == zoneSize);
+    BOOST_TEST(countReceivers(fleet)["z0"] == zoneSize - 1);
     fleet.clock.advance(3s);
     fleet.network.datagrams.clear();
     reader.part.sendDelta(makeDelta(), {});
