--- a/include/buckthorncroft/routing/dispatch_point.h
+++ b/include/buckthorncroft/routing/dispatch_point.h
@@ -229,6 +229,7 @@
     void refuseHopeless(base::SteadyTime now);
     base::SteadyTime computeWaitDeadline(const DispatchRequest& request, base::SteadyTime now) const;
     std::chrono::duration<double> idleExcess(const Target& target, base::SteadyTime now) const;
+    bool isLeftToOwnZone(const Target& target, const DispatchRequest& request, base::SteadyTime now) const;
     std::chrono::duration<double> idleExcessFor(
         const Target& target, const DispatchRequest& request, base::SteadyTime now) const;
     bool isNew(const Target& target, base::SteadyTime now) const;
