Answer 503 to an unknown key while the routes may be outdated

An instance that has heard of newer routes, or has had no contact for 3 s, answered 401 to a key that only those routes contain; callers do not repeat a request after 401. It answers 503 with Retry-After now, as for an unmatched path. unknownKeyGetsRetryAfterWhileRoutesMayBeOutdated fails without the change (401 instead of 503).

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -208,6 +208,8 @@
         return reject(401, "the request has no key");
     m_key = digestOfKey(key);
     m_workspace = m_snapshot->routes->findWorkspace(*m_key);
+    if (!m_workspace && m_snapshot->mayBeOutdated)
+        return reject(503, "the keys may be outdated");
     if (!m_workspace)
         return reject(401, "the key is not known");
     return std::nullopt;
--- a/tests/gateway/outdated_routes_test.cpp
+++ b/tests/gateway/outdated_routes_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE OutdatedRoutes
 #include <boost/test/unit_test.hpp>
 
+#include "../../src/gateway/key_digest.h"
 #include "../../src/gateway/registry_watcher.h"
 #include "flow_fixture.h"
 
@@ -183,3 +184,25 @@
     caller->send(unmatched);
     BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 404"));
 }
+
+// Guards against 401 for a key that newer routes may contain. A request without a key is rejected in any case.
+BOOST_FIXTURE_TEST_CASE(unknownKeyGetsRetryAfterWhileRoutesMayBeOutdated, test::FlowFixture)
+{
+    routing::Workspace workspace;
+    workspace.name = "w1";
+    workspace.keys = { gateway::digestOfKey("known") };
+    workspaces = { workspace };
+    publish(2, config::RequestKind::Idempotent, 2000ms);
+    auto snapshot = *snapshots.read();
+    snapshot.mayBeOutdated = true;
+    snapshots.publish(std::make_shared<const gateway::GatewaySnapshot>(snapshot));
+    const auto caller = start();
+    const auto request = fmt::format("GET /r/x HTTP/1.1\r\nHost: h\r\n{}: 1\r\n", names.requestId);
+    caller->send(request + "Authorization: Bearer new\r\n\r\n");
+    const auto message = caller->readMessage();
+    BOOST_TEST(message.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(!test::headerOf(message, "Retry-After").empty());
+    caller->send(request + "\r\n");
+    BOOST_TEST(caller->readMessage().starts_with("HTTP/1.1 401"));
+    BOOST_TEST(placement.slotRequests.empty());
+}
