Name the limits of workspaces quotas

The glossary has quota for what the platform's pages call a usage cap; the new code, its log events, tests and pages used the pages' word. The names change, nothing else. usage_point_test, usage_client_test, documents_test and peer_messages_test pass.

--- a/include/buckthorncroft/limits/usage_point.h
+++ b/include/buckthorncroft/limits/usage_point.h
@@ -42,18 +42,18 @@
     std::chrono::milliseconds retryAfter { 0 }; ///< When the workspace may send again; only for `Refused`.
 };
 
-/// A workspace reached its cap, or is within it again.
-struct UsageCapChange {
+/// A workspace reached its quota, or is within it again.
+struct QuotaChange {
     std::string workspace;
     bool reached = false;
-    unsigned refusedCount = 0; ///< Requests refused since the cap was reached.
+    unsigned refusedCount = 0; ///< Requests refused since the quota was reached.
 };
 
 /// Counts the requests of workspaces in token buckets on behalf of the instances that ask it. Instances that are
 /// separated from each other ask different points, and each instance asks one point at a time. A point fills its
-/// buckets in proportion to the instances that asked it lately, so all points together keep to the caps.
+/// buckets in proportion to the instances that asked it lately, so all points together keep to the quotas.
 ///
-/// Answers these disturbances: a workspace that sends many times its usual rate, loss and restart of points, links that
+/// Answers these faults: a workspace that sends many times its usual rate, loss and restart of points, links that
 /// lose or duplicate messages, instances that are separated, and processes that are suspended.
 ///
 /// Not safe for concurrent use.
@@ -74,14 +74,14 @@
     /// a suspension.
     void advance(base::SteadyTime now, std::size_t fleetSize);
 
-    /// Removes all tokens and forgets which instances ask this point.
+    /// Removes all tokens and the record of the instances that ask this point.
     void clear();
 
     /// Returns the decisions made since the last call.
     std::vector<UsageDecision> takeDecisions();
 
     /// Returns the changes since the last call. A workspace changes at most once a second.
-    std::vector<UsageCapChange> takeCapChanges();
+    std::vector<QuotaChange> takeQuotaChanges();
 
     /// Returns the part of the allowances that this point grants, from 0 to 1.
     double share() const { return m_share; }
@@ -97,7 +97,7 @@
         std::deque<WaitingRequest> waiting; ///< Oldest first.
         base::SteadyTime nextRetryAt {}; ///< When the most recently refused caller may send again.
         base::SteadyTime lastRefusedAt {};
-        unsigned refusedCount = 0; ///< Since the cap was reached; 0 if the workspace is within its cap.
+        unsigned refusedCount = 0; ///< Since the quota was reached; 0 if the workspace is within its quota.
     };
     struct RecentDecision {
         UsageKey key;
@@ -116,7 +116,7 @@
     std::map<UsageKey, UsageDecision> m_recent; ///< Final decisions, repeated when a request is sent again.
     std::deque<RecentDecision> m_recentOrder; ///< Oldest first.
     std::vector<UsageDecision> m_decisions;
-    std::vector<UsageCapChange> m_capChanges;
+    std::vector<QuotaChange> m_quotaChanges;
     base::SteadyTime m_advancedAt {};
     double m_share = 0;
 };
--- a/include/buckthorncroft/routing/route_table.h
+++ b/include/buckthorncroft/routing/route_table.h
@@ -50,19 +50,19 @@
 };
 
 /// Maximum rate of requests of a workspace, over all instances.
-struct UsageCap {
+struct Quota {
     double ratePerSecond = 0; ///< 0 if the rate is not limited.
     double burst = 0; ///< Requests that may exceed the rate at once.
 
     bool isLimited() const { return ratePerSecond > 0; }
 };
 
-/// A workspace: callers that share keys, a priority and a usage cap.
+/// A workspace: callers that share keys, a priority and a quota.
 struct Workspace {
     std::string name;
     std::vector<KeyDigest> keys; ///< Empty in a `RouteTable`, which moves them to its directory.
     unsigned priority = 0; ///< Goes before the priority of the route; 0 is the highest.
-    UsageCap cap;
+    Quota quota;
 };
 
 /// Workspaces and keys that were left out of a `RouteSet`, because they are not valid.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -35,7 +35,7 @@
     constexpr milliseconds routesTimeout { 600 };
     constexpr milliseconds routesCheckInterval { 20 };
 
-    // A usage cap that is not checked within this time counts as used up, and the caller may repeat the request then.
+    // A quota that is not checked within this time counts as used up, and the caller may repeat the request then.
     constexpr milliseconds admissionTimeout { 500 };
 
     // A longer deadline of a caller is shortened to this.
@@ -225,11 +225,11 @@
     return workspace && workspace->name == m_workspace->name;
 }
 
-// Waits until the request is known to be within the usage cap of its workspace. Returns a rejection if it is not, or
+// Waits until the request is known to be within the quota of its workspace. Returns a rejection if it is not, or
 // if the request ends first.
 http::Awaitable<RequestFlow::MaybeResponse> RequestFlow::waitForAdmission()
 {
-    if (!m_context.admission || !m_workspace || !m_workspace->cap.isLimited())
+    if (!m_context.admission || !m_workspace || !m_workspace->quota.isLimited())
         co_return std::nullopt;
     const auto end = std::min(m_context.clock.now() + admissionTimeout, m_deadline);
     m_context.admission->admit(m_workspace->name, [weak = weak_from_this()](const Admission& admission) {
@@ -249,10 +249,10 @@
         co_return reject(503, "the instance stops");
     if (!m_admission) {
         m_admission = Admission { false, admissionTimeout };
-        co_return reject(429, "the usage cap could not be checked");
+        co_return reject(429, "the quota could not be checked");
     }
     if (!m_admission->admitted)
-        co_return reject(429, "the usage cap of the workspace is used up");
+        co_return reject(429, "the quota of the workspace is used up");
     if (!mayStillUseKey())
         co_return reject(401, "the key was withdrawn");
     co_return std::nullopt;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -118,7 +118,7 @@
     const routing::HostRoute* m_route = nullptr;
     std::optional<routing::KeyDigest> m_key; ///< Digest of the caller's key, if requests need one.
     const routing::Workspace* m_workspace = nullptr; ///< Null if the request needs no key; owned by `m_snapshot`.
-    std::optional<Admission> m_admission; ///< Set once the usage cap has been checked.
+    std::optional<Admission> m_admission; ///< Set once the quota has been checked.
     std::string m_service;
     std::string m_id;
     std::shared_ptr<ForwardedRequest> m_forwardedRequest;
--- a/src/gateway/traffic_context.h
+++ b/src/gateway/traffic_context.h
@@ -64,7 +64,7 @@
     std::chrono::milliseconds retryAfter { 0 }; ///< When the workspace may send again; 0 if the request is admitted.
 };
 
-/// Interface through which the traffic thread asks whether a request is within the usage cap of its workspace.
+/// Interface through which the traffic thread asks whether a request is within the quota of its workspace.
 class AdmissionService {
 public:
     AdmissionService() = default;
--- a/src/gateway/usage_client.cpp
+++ b/src/gateway/usage_client.cpp
@@ -70,13 +70,13 @@
 
 void UsageClient::setWorkspaces(const std::vector<routing::Workspace>& workspaces)
 {
-    m_caps.clear();
+    m_quotas.clear();
     std::map<const Shard*, std::map<std::string, limits::UsageAllowance>> allowances;
     for (const auto& it : workspaces) {
-        if (!it.cap.isLimited())
+        if (!it.quota.isLimited())
             continue;
-        m_caps[it.name] = it.cap;
-        allowances[&shardOf(it.name)][it.name] = { it.cap.ratePerSecond, it.cap.burst };
+        m_quotas[it.name] = it.quota;
+        allowances[&shardOf(it.name)][it.name] = { it.quota.ratePerSecond, it.quota.burst };
     }
     Outbox outbox;
     for (auto& it : m_shards) {
@@ -88,7 +88,7 @@
 
 void UsageClient::admit(const std::string& workspace, Callback callback)
 {
-    if (!m_caps.contains(workspace)) {
+    if (!m_quotas.contains(workspace)) {
         callback(Admission {});
         return;
     }
@@ -157,8 +157,8 @@
             datagram = m_peers.makeMessage();
         *datagram.mutable_usage()->add_decisions() = message;
     }
-    for (const auto& it : shard.localPoint.takeCapChanges()) {
-        m_log.write(observe::Level::Info, it.reached ? "usage_cap_reached" : "usage_cap_cleared",
+    for (const auto& it : shard.localPoint.takeQuotaChanges()) {
+        m_log.write(observe::Level::Info, it.reached ? "quota_reached" : "quota_cleared",
             { { "workspace", it.workspace }, { "refused", std::to_string(it.refusedCount) } });
     }
 }
@@ -264,7 +264,7 @@
         if (const auto it = m_pending.find(number); it != m_pending.end())
             resendIfUnanswered(number, it->second);
     }
-    if (m_caps.empty())
+    if (m_quotas.empty())
         return;
     sendHeartbeats();
     const auto now = m_clock.now();
--- a/src/gateway/usage_client.h
+++ b/src/gateway/usage_client.h
@@ -26,7 +26,7 @@
     UsageClient(const base::Clock& clock, PeerGroup& peers, const observe::Logger& log, observe::Metrics& metrics,
         std::uint64_t firstRequest);
 
-    /// Replaces the caps of all workspaces.
+    /// Replaces the quotas of all workspaces.
     void setWorkspaces(const std::vector<routing::Workspace>& workspaces);
 
     /// Asks for admission of one request. Calls `callback` once, possibly before this function returns.
@@ -83,7 +83,7 @@
     std::uint64_t m_nextRequestNumber;
     base::SteadyTime m_startedAt;
     std::array<Shard, shardCount> m_shards;
-    std::map<std::string, routing::UsageCap> m_caps; ///< Limited workspaces only.
+    std::map<std::string, routing::Quota> m_quotas; ///< Limited workspaces only.
     std::map<std::uint64_t, PendingRequest> m_pending; ///< By request number.
 };
 
--- a/src/limits/usage_point.cpp
+++ b/src/limits/usage_point.cpp
@@ -19,7 +19,7 @@
     constexpr milliseconds memberLifetime { 800 };
 
     // A point that this part of the fleet asks fills its buckets at the full rate, so that a few lost instances do not
-    // lower the caps. The other instances can add at most the remaining part.
+    // lower the quotas. The other instances can add at most the remaining part.
     constexpr double fullShareFraction = 0.9;
 
     // A longer time between two calls of `advance` indicates a suspension.
@@ -35,8 +35,8 @@
     constexpr milliseconds minRetryAfter { 200 };
     constexpr milliseconds maxRetryAfter { 5000 };
 
-    // A workspace is within its cap again when no request was refused for this time.
-    constexpr milliseconds capClearedDelay { 1000 };
+    // A workspace is within its quota again when no request was refused for this time.
+    constexpr milliseconds quotaClearedDelay { 1000 };
 
     std::size_t maxWaiting(const UsageAllowance& allowance)
     {
@@ -95,8 +95,8 @@
         const double added = it.allowance.ratePerSecond * fillFraction * m_share * Seconds(elapsed).count();
         it.tokens = std::min(it.tokens + added, maxTokens(it.allowance, m_share));
         decideWaiting(workspace, it, now);
-        if (it.refusedCount > 0 && now - it.lastRefusedAt > capClearedDelay) {
-            m_capChanges.push_back({ workspace, false, it.refusedCount });
+        if (it.refusedCount > 0 && now - it.lastRefusedAt > quotaClearedDelay) {
+            m_quotaChanges.push_back({ workspace, false, it.refusedCount });
             it.refusedCount = 0;
         }
     }
@@ -159,7 +159,7 @@
     bucket.nextRetryAt = std::clamp(bucket.nextRetryAt + interval, now + minRetryAfter, now + maxRetryAfter);
     bucket.lastRefusedAt = now;
     if (bucket.refusedCount++ == 0)
-        m_capChanges.push_back({ workspace, true, 0 });
+        m_quotaChanges.push_back({ workspace, true, 0 });
     decide({ key, UsageVerdict::Refused, std::chrono::ceil<milliseconds>(bucket.nextRetryAt - now) }, now);
 }
 
@@ -195,9 +195,9 @@
     return std::exchange(m_decisions, {});
 }
 
-std::vector<UsageCapChange> UsagePoint::takeCapChanges()
+std::vector<QuotaChange> UsagePoint::takeQuotaChanges()
 {
-    return std::exchange(m_capChanges, {});
+    return std::exchange(m_quotaChanges, {});
 }
 
 } // namespace buckthorncroft::limits
--- a/tests/core/usage_point_test.cpp
+++ b/tests/core/usage_point_test.cpp
@@ -161,11 +161,11 @@
 
 } // namespace
 
-// Guards against exceeding the cap in any window while instances are separated, frozen, restarted and reunited, links
-// lose messages, and the workspace sends many times its cap.
+// Guards against exceeding the quota in any window while instances are separated, frozen, restarted and reunited, links
+// lose messages, and the workspace sends many times its quota.
 BOOST_AUTO_TEST_CASE(noWindowExceedsTheCap)
 {
-    BOOST_TEST(rc::check("admitted requests stay within the cap", [] {
+    BOOST_TEST(rc::check("admitted requests stay within the quota", [] {
         const auto allowance = *rc::gen::elementOf(
             std::vector<limits::UsageAllowance> { usualAllowance, { 40, 400 }, { 200, 100 }, { 200, 0 }, { 5, 10 } });
         Fleet fleet(20, *rc::gen::arbitrary<unsigned>(), allowance);
@@ -192,7 +192,7 @@
     }));
 }
 
-// Guards against a cap that a hot workspace cannot use although all instances are in touch.
+// Guards against a quota that a hot workspace cannot use although all instances are in touch.
 BOOST_AUTO_TEST_CASE(hotWorkspaceGetsItsCap)
 {
     Fleet fleet(126);
@@ -220,7 +220,7 @@
     BOOST_TEST(fleet.refused <= 10u);
 }
 
-// Guards against tokens that outlive a lowered cap, and against a second burst by a raised one.
+// Guards against tokens that outlive a lowered quota, and against a second burst by a raised one.
 BOOST_AUTO_TEST_CASE(newAllowanceBindsAtOnce)
 {
     limits::UsagePoint point;
--- a/tests/gateway/documents_test.cpp
+++ b/tests/gateway/documents_test.cpp
@@ -61,7 +61,7 @@
     BOOST_TEST((routes.routes[1].kind == config::RequestKind::NonIdempotent));
 }
 
-// Guards against keys, priorities or usage caps that are lost in decoding, and against the repetition of a download
+// Guards against keys, priorities or quotas that are lost in decoding, and against the repetition of a download
 // being refused.
 BOOST_AUTO_TEST_CASE(workspacesAreDecodedCompletely)
 {
@@ -73,12 +73,12 @@
     BOOST_REQUIRE(first);
     BOOST_TEST(first->name == "w1");
     BOOST_TEST(first->priority == 3u);
-    BOOST_TEST(first->cap.ratePerSecond == 36.5);
-    BOOST_TEST(first->cap.burst == 7);
+    BOOST_TEST(first->quota.ratePerSecond == 36.5);
+    BOOST_TEST(first->quota.burst == 7);
     const auto* second = table.findWorkspace(gateway::digestOfKey("key-three"));
     BOOST_REQUIRE(second);
     BOOST_TEST(second->name == "w2");
-    BOOST_TEST(!second->cap.isLimited());
+    BOOST_TEST(!second->quota.isLimited());
     BOOST_TEST(!table.findWorkspace(gateway::digestOfKey("key-thre")));
     BOOST_TEST(!platform::decodeRoutes(configuration).requiresKeys());
 }
@@ -131,7 +131,7 @@
     BOOST_TEST(!platform::decodeRoutes(isolated("[]")).requiresKeys());
 }
 
-// Guards against two workspaces that targets and usage caps cannot tell apart.
+// Guards against two workspaces that targets and quotas cannot tell apart.
 BOOST_AUTO_TEST_CASE(secondWorkspaceOfANameIsLeftOut)
 {
     const routing::RouteTable table(
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -32,7 +32,7 @@
         placement.setTargets(targets);
         routing::Workspace workspace;
         workspace.name = "w";
-        workspace.cap = { 10, 5 };
+        workspace.quota = { 10, 5 };
         usage.setWorkspaces({ workspace });
     }
 
--- a/tests/gateway/usage_client_test.cpp
+++ b/tests/gateway/usage_client_test.cpp
@@ -22,14 +22,14 @@
     {
         BOOST_REQUIRE(channel.open({ "127.0.0.1", 0 }));
         peerSocket.non_blocking(true);
-        setCap({ 10, 5 });
+        setQuota({ 10, 5 });
     }
 
-    void setCap(const routing::UsageCap& cap)
+    void setQuota(const routing::Quota& quota)
     {
         routing::Workspace workspace;
         workspace.name = "w";
-        workspace.cap = cap;
+        workspace.quota = quota;
         usage.setWorkspaces({ workspace });
     }
 
@@ -107,21 +107,21 @@
 
 } // namespace
 
-// Guards against delays of workspaces without a cap, and against datagrams of deployments without caps.
+// Guards against delays of workspaces without a quota, and against datagrams of deployments without quotas.
 BOOST_AUTO_TEST_CASE(unlimitedWorkspaceIsAdmittedAtOnce)
 {
     Fixture f;
     f.admit("other");
     BOOST_TEST(f.admittedCount() == 1u);
     f.addPeer(8);
-    f.setCap({ 0, 0 });
+    f.setQuota({ 0, 0 });
     f.admit();
     f.run(5s);
     BOOST_TEST(f.admittedCount() == 2u);
     BOOST_TEST(!f.receive());
 }
 
-// Guards against an instance without others that grants more than the cap or refuses without a time.
+// Guards against an instance without others that grants more than the quota or refuses without a time.
 BOOST_AUTO_TEST_CASE(loneInstanceKeepsToTheCap)
 {
     Fixture f;
@@ -177,7 +177,7 @@
     BOOST_TEST((f.results[0].retryAfter == 700ms));
 }
 
-// Guards against a point that does not answer other instances, or admits them beyond the cap.
+// Guards against a point that does not answer other instances, or admits them beyond the quota.
 BOOST_AUTO_TEST_CASE(localPointDecidesForOthers)
 {
     Fixture f;
@@ -207,7 +207,7 @@
     BOOST_TEST(admitted == 5u);
 }
 
-// Guards against a waiting request that is forgotten when the cap of its workspace is removed.
+// Guards against a waiting request that is forgotten when the quota of its workspace is removed.
 BOOST_AUTO_TEST_CASE(removedCapAdmitsWaitingRequests)
 {
     Fixture f;
@@ -215,6 +215,6 @@
     for (int n = 0; n < 6; ++n)
         f.admit();
     BOOST_TEST(f.results.size() == 5u);
-    f.setCap({ 0, 0 });
+    f.setQuota({ 0, 0 });
     BOOST_TEST(f.admittedCount() == 6u);
 }
--- a/tests/gateway/workspace_keys_test.cpp
+++ b/tests/gateway/workspace_keys_test.cpp
@@ -232,12 +232,12 @@
     BOOST_TEST(routing::combinedPriority(1, 0) > routing::combinedPriority(0, routing::lowestPriority));
 }
 
-// Guards against a request beyond the usage cap that takes a slot, and against a count of further attempts.
-BOOST_FIXTURE_TEST_CASE(usageCapIsCheckedOnceBeforeTheFirstSlot, KeyFixture)
+// Guards against a request beyond the quota that takes a slot, and against a count of further attempts.
+BOOST_FIXTURE_TEST_CASE(quotaIsCheckedOnceBeforeTheFirstSlot, KeyFixture)
 {
     FakeAdmission admission(io);
     context.admission = &admission;
-    workspaces[0].cap = { 10, 0 };
+    workspaces[0].quota = { 10, 0 };
     RawTarget failing([](RawConnection& peer, unsigned) { peer.readMessage(); });
     ports["f"] = failing.port();
     publish(2, RequestKind::Idempotent, 2000ms);
@@ -259,12 +259,12 @@
     BOOST_TEST(placement.slotRequests.size() == 3u);
 }
 
-// Guards against a slot request under a key that was withdrawn during the check of the usage cap.
+// Guards against a slot request under a key that was withdrawn during the check of the quota.
 BOOST_FIXTURE_TEST_CASE(keyWithdrawnDuringTheCheckOfTheCap, KeyFixture)
 {
     FakeAdmission admission(io);
     context.admission = &admission;
-    workspaces[0].cap = { 10, 0 };
+    workspaces[0].quota = { 10, 0 };
     publish(2, RequestKind::Idempotent, 2000ms);
     admission.beforeReply = [&] {
         workspaces.erase(workspaces.begin());
@@ -282,7 +282,7 @@
     FakeAdmission admission(io);
     context.admission = &admission;
     admission.replies = false;
-    workspaces[0].cap = { 10, 0 };
+    workspaces[0].quota = { 10, 0 };
     publish(2, RequestKind::Idempotent, 2000ms);
     auto caller = start();
     auto text = request("1");
