--- a/review/support-2/fleet.h
+++ b/review/support-2/fleet.hh
@@ -251,9 +251,9 @@
     std::atomic<unsigned> m_runs = 0;
 };
 
-/// The platform's store with the check-ins of servers: each one checks in at an interval. A check-in that changes no more
-/// than the sequence number leaves the entry as it is. After three intervals without a check-in the entry is removed,
-/// also while the store is down.
+/// The platform's store with the check-ins of servers: each one checks in at an interval. A check-in that changes no
+/// more than the sequence number leaves the entry as it is. After three intervals without a check-in the entry is
+/// removed, also while the store is down.
 class Platform {
 public:
     static constexpr milliseconds heartbeat { 1500 };
@@ -292,10 +292,11 @@
                     if (!m_down)
                         lastAt = now;
                     if (!m_down && !std::exchange(listed, true)) {
-                        m_store.put("servers", server.id(), encodeBase64(fmt::format(
-                            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"1","slots":3,)"
-                            R"("state":"ready","cold_remaining":"0ms","seq":{},"born":1700000000000}})",
-                            service, server.port(), zone, sequence)));
+                        m_store.put("servers", server.id(),
+                            encodeBase64(fmt::format(
+                                R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"1","slots":3,)"
+                                R"("state":"ready","cold_remaining":"0ms","seq":{},"born":1700000000000}})",
+                                service, server.port(), zone, sequence)));
                         m_record.line("platform lists {}", server.id());
                     }
                 }
@@ -312,8 +313,8 @@
     void setDown(bool down)
     {
         m_down = down;
-        m_store.setFault(down ? buckthorncroft::standin::StoreFault::Returns503
-                              : buckthorncroft::standin::StoreFault::None);
+        m_store.setFault(
+            down ? buckthorncroft::standin::StoreFault::Returns503 : buckthorncroft::standin::StoreFault::None);
         m_record.line("platform's store {}", down ? "is down" : "is up");
     }
 
@@ -474,19 +475,18 @@
         request.prepare_payload();
     boost::beast::flat_buffer buffer;
     bhttp::response<bhttp::string_body> response;
-    stream.async_connect(
-        { asio::ip::address_v4::loopback(), port }, [&](boost::system::error_code failed) {
+    stream.async_connect({ asio::ip::address_v4::loopback(), port }, [&](boost::system::error_code failed) {
+        if (failed)
+            return;
+        bhttp::async_write(stream, request, [&](boost::system::error_code failed, std::size_t) {
             if (failed)
                 return;
-            bhttp::async_write(stream, request, [&](boost::system::error_code failed, std::size_t) {
-                if (failed)
-                    return;
-                bhttp::async_read(stream, buffer, response, [&](boost::system::error_code failed, std::size_t) {
-                    if (!failed)
-                        status = response.result_int();
-                });
+            bhttp::async_read(stream, buffer, response, [&](boost::system::error_code failed, std::size_t) {
+                if (!failed)
+                    status = response.result_int();
             });
         });
+    });
     io.run();
     return status;
 }
--- a/review/support-2/gone_requesters.cpp
+++ b/review/support-2/gone_requesters.cc
@@ -1,5 +1,5 @@
 // Case 7: it isn't noticed that a requester with many unanswered requests on its connection has left.
-#include "fleet.h"
+#include "fleet.hh"
 
 using namespace review;
 
@@ -123,8 +123,8 @@
         }
     }
     const bool isBroken = longRuns > 0 && atWork > maxShareAtWork * longRuns;
-    record.line("{} requesters left; {} of their requests reached a server over {} ms later", left.size(), late,
-        bound.count());
+    record.line(
+        "{} requesters left; {} of their requests reached a server over {} ms later", left.size(), late, bound.count());
     record.line("of {} of their requests that would have lasted so long, {} were still at work {} ms later", longRuns,
         atWork, bound.count());
     record.line("result: GONE {}", isBroken ? "is broken" : "holds");
