--- a/review/support-2/fleet.hh
+++ b/review/support-2/fleet.hh
@@ -18,7 +18,9 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -79,6 +81,7 @@
 inline std::uint16_t drawPort()
 {
     static std::mt19937 random { std::random_device {}() };
+    static std::set<std::uint16_t> drawn;
     while (true) {
         const auto port = static_cast<std::uint16_t>(std::uniform_int_distribution<int>(12'000, 31'000)(random));
         asio::io_context io;
@@ -91,7 +94,7 @@
             socket.open(asio::ip::udp::v4(), ec);
         if (!ec)
             socket.bind({ asio::ip::address_v4::loopback(), port }, ec);
-        if (!ec)
+        if (!ec && drawn.insert(port).second)
             return port;
     }
 }
@@ -375,12 +378,16 @@
         const auto log = fmt::format("{}/{}.log", m_folder, m_options.name);
         m_pid = ::fork();
         if (m_pid == 0) {
+            // The gateway ends with the script, also if that is stopped early.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(file, 1);
             ::dup2(file, 2);
             for (int n = 3; n < 1024; ++n)
                 ::close(n);
-            ::execl(m_options.program.c_str(), m_options.program.c_str(), path.c_str(), nullptr);
+            // As the deploy file has it: without an argument.
+            ::setenv("BUCKTHORNCROFT_NODE_FILE", path.c_str(), 1);
+            ::execl(m_options.program.c_str(), m_options.program.c_str(), nullptr);
             ::_exit(127);
         }
         m_record.line("gateway {} starts", m_options.name);
