Don't relay responses with an undefined status

Callers got responses with the status 000 from a target in trouble.

Cause: Beast's parser accepts any three digits as a status, and nothing checked it afterwards. The gateway relayed any such response that was signed, the entry daemon any such response.

TargetCall, which reads all responses to requests of callers, now treats a status outside 100 to 599 as a malformed head. The attempt fails: a request that may be repeated goes to another target, any other gets 502. The log and the 502 say "the answer is not valid HTTP: bad status".

--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -198,12 +198,18 @@
         conclude(AttemptState::Failed, Verdict::Mismatched, "the answer belongs to another request");
         return;
     default:
-        conclude(AttemptState::Failed, Verdict::Truncated,
-            m_call->sawResponseBytes() ? "the answer broke off" : "the connection ended without an answer");
+        conclude(AttemptState::Failed, Verdict::Truncated, describeFailure());
         return;
     }
 }
 
+std::string TargetAttempt::describeFailure() const
+{
+    if (const auto ec = m_call->formatError())
+        return "the answer is not valid HTTP: " + ec.message();
+    return m_call->sawResponseBytes() ? "the answer broke off" : "the connection ended without an answer";
+}
+
 // Reads what the target announces besides its response to the request.
 void TargetAttempt::readNotice()
 {
--- a/src/gateway/target_attempt.h
+++ b/src/gateway/target_attempt.h
@@ -91,6 +91,7 @@
     http::bhttp::request_header<> makeRequestHead() const;
     bool isIdempotent() const { return m_request->kind == config::RequestKind::Idempotent; }
     void classify(http::CallResult result);
+    std::string describeFailure() const;
     void classifyResponse();
     void conclude(AttemptState state, health::Verdict verdict, std::string reason);
     void readNotice();
--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -60,6 +60,11 @@
     return std::nullopt;
 }
 
+bool isValidStatus(unsigned status)
+{
+    return status >= 100 && status <= 599;
+}
+
 void removeHopByHopHeaders(bhttp::fields& fields)
 {
     std::vector<std::string> named;
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -26,6 +26,10 @@
 /// is valid.
 std::optional<RequestRejection> checkRequestHead(const bhttp::request_header<>& head);
 
+/// Whether HTTP defines a class for the status of a response (RFC 9110, section 15). Beast's parser accepts any three
+/// digits.
+bool isValidStatus(unsigned status);
+
 /// Removes hop-by-hop headers, including those that `Connection` names.
 void removeHopByHopHeaders(bhttp::fields& fields);
 
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -1,5 +1,6 @@
 #include "target_call.h"
 
+#include "framing.h"
 #include "read_parsed.h"
 
 #include <algorithm>
@@ -14,6 +15,12 @@
     // Without this limit, a target that sends only interim responses would occupy its slot until the deadline.
     constexpr unsigned maxInterimResponses = 16;
 
+    bool isFormatError(error_code ec)
+    {
+        return ec.category() == make_error_code(bhttp::error::end_of_stream).category()
+            && ec != bhttp::error::end_of_stream && ec != bhttp::error::partial_message;
+    }
+
 } // namespace
 
 TargetCall::TargetCall(std::shared_ptr<Connection> connection, CallRules rules)
@@ -80,9 +87,18 @@
     error_code ec;
     co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, captureError(ec));
     m_sawResponseBytes = m_sawResponseBytes || m_parser->got_some();
+    if (!ec && !isValidStatus(m_parser->get().result_int()))
+        ec = make_error_code(bhttp::error::bad_status);
     co_return ec;
 }
 
+void TargetCall::fail(error_code ec)
+{
+    m_failed = true;
+    if (isFormatError(ec))
+        m_formatError = ec;
+}
+
 CallResult TargetCall::failureResult() const
 {
     return m_connection->timedOut() ? CallResult::TimedOut : CallResult::Truncated;
@@ -94,7 +110,7 @@
         const auto ec = co_await readNextHead(method);
         m_headRead = true;
         if (ec) {
-            m_failed = true;
+            fail(ec);
             co_return false;
         }
         const auto status = m_parser->get().result_int();
@@ -114,7 +130,7 @@
     while (!m_headRead && !m_failed) {
         const auto ec = co_await readNextHead(method);
         if (ec)
-            m_failed = true;
+            fail(ec);
         m_headRead = !ec && (m_parser->get().result_int() / 100 != 1 || ++m_interimResponses > maxInterimResponses);
     }
     if (m_failed)
@@ -185,7 +201,7 @@
     while (!m_parser->is_done() && body.size == size) {
         const auto ec = co_await readParsed(*m_connection, *m_parser);
         if (ec && ec != bhttp::error::need_buffer) {
-            m_failed = true;
+            fail(ec);
             break;
         }
     }
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -81,6 +81,9 @@
     std::shared_ptr<Connection> takeConnection() { return std::move(m_connection); }
     bool sawResponseBytes() const { return m_sawResponseBytes; }
 
+    /// Why the response is not a valid HTTP message. Not set if it ended early or the connection failed.
+    error_code formatError() const { return m_formatError; }
+
 private:
     using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
@@ -88,6 +91,7 @@
     Awaitable<CallResult> bufferBody(bool bodyless);
     Awaitable<bool> readFinalHead(bhttp::verb method);
     Awaitable<bool> skipMismatchedResponse();
+    void fail(error_code ec);
     CallResult failureResult() const;
 
     std::shared_ptr<Connection> m_connection;
@@ -96,6 +100,7 @@
     std::optional<bhttp::request<bhttp::buffer_body>> m_streamedRequest; ///< Sent by `sendHead` and `sendBodyPiece`.
     std::optional<bhttp::request_serializer<bhttp::buffer_body>> m_serializer;
     std::string m_bufferedBody;
+    error_code m_formatError;
     unsigned m_interimResponses = 0;
     unsigned m_skippedResponses = 0; ///< Responses to other requests.
     bool m_headRead = false;
--- /dev/null
+++ b/tests/gateway/broken_response_test.cpp
@@ -0,0 +1,133 @@
+#define BOOST_TEST_MODULE BrokenResponse
+#include <boost/test/unit_test.hpp>
+
+#include "flow_fixture.h"
+
+using namespace buckthorncroft;
+using namespace buckthorncroft::test;
+using config::RequestKind;
+
+namespace {
+
+std::string statusOf(const std::string& message)
+{
+    return message.substr(0, 12);
+}
+
+std::string bodyOf(const std::string& message)
+{
+    const auto pos = message.find("\r\n\r\n");
+    return pos == std::string::npos ? "" : message.substr(pos + 4);
+}
+
+/// Returns header lines that make a response to request 1 count as signed.
+std::string signatureFields()
+{
+    const gateway::HeaderNames names;
+    return names.requestId + ": 1\r\n" + names.signature + ": proof\r\n";
+}
+
+/// A way to send the body "part".
+struct Framing {
+    std::string name;
+    std::string fields;
+    std::string encodedBody;
+};
+
+const std::vector<Framing>& framings()
+{
+    static const std::vector<Framing> result {
+        { "length", "Content-Length: 4\r\n", "part" },
+        { "chunked", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n\r\n" },
+        { "ended by close", "Connection: close\r\n", "part" },
+    };
+    return result;
+}
+
+/// A fleet of two targets: `broken` runs a script, and `sound` answers each request with the body "sound".
+struct BrokenTargetFixture : FlowFixture {
+    explicit BrokenTargetFixture(RequestKind kind, RawTarget::Script script)
+        : broken(std::move(script))
+        , sound([this](RawConnection& peer, unsigned) {
+            const auto id = headerOf(peer.readMessage(), names.requestId);
+            peer.send(response(id, "sound"));
+        })
+    {
+        ports = { { "broken", broken.port() }, { "sound", sound.port() } };
+        publish(1, kind, 2000ms);
+        placement.grants = { "broken", "sound" };
+    }
+
+    /// Sends a request and returns the response.
+    std::string call(const std::string& method, const std::string& body = "")
+    {
+        const auto caller = start();
+        caller->send(request("1", method, body));
+        auto result = caller->readMessage();
+        stopTraffic();
+        return result;
+    }
+
+    RawTarget broken;
+    RawTarget sound;
+};
+
+/// Sends `text` once for the first request, in one segment or byte by byte, and closes the connection.
+RawTarget::Script sendingOnce(const std::string& text, bool split = false)
+{
+    return [text, split](RawConnection& peer, unsigned) {
+        peer.readMessage();
+        for (std::size_t n = 0; split && n < text.size(); ++n) {
+            peer.send(text.substr(n, 1));
+            std::this_thread::sleep_for(50us);
+        }
+        if (!split)
+            peer.send(text);
+    };
+}
+
+/// Returns what is wrong with the treatment of a target that runs `script`, which sends no valid response, or an empty
+/// string: a request that may run only once must fail with 502, and one that may be repeated must be served by the
+/// sound target.
+std::string findFault(const RawTarget::Script& script, const std::string& body = "book")
+{
+    for (const auto kind : { RequestKind::NonIdempotent, RequestKind::Upload }) {
+        BrokenTargetFixture fixture(kind, script);
+        const auto received = fixture.call("POST", body);
+        if (statusOf(received) != "HTTP/1.1 502")
+            return "a request that may run once got " + received;
+        if (fixture.sound.connections() != 0)
+            return "a request that may run once was sent to a second target";
+    }
+    BrokenTargetFixture fixture(RequestKind::Idempotent, script);
+    const auto received = fixture.call("POST", body);
+    const bool isServed = statusOf(received) == "HTTP/1.1 200" && bodyOf(received) == "sound";
+    return isServed ? "" : "a request that may be repeated got " + received;
+}
+
+} // namespace
+
+// Guards against a response with a status that HTTP does not define and that reaches the caller as a response.
+BOOST_AUTO_TEST_CASE(statusOutsideTheValidRangeIsAFailedAttempt)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+        for (const auto& it : framings()) {
+            const auto text
+                = "HTTP/1.1 " + status + " Status\r\n" + signatureFields() + it.fields + "\r\n" + it.encodedBody;
+            const auto fault = findFault(sendingOnce(text));
+            BOOST_TEST(fault.empty(), status << ", " << it.name << ": " << fault);
+        }
+    }
+}
+
+// Guards against rejecting statuses that are valid but not registered.
+BOOST_AUTO_TEST_CASE(unregisteredStatusIsRelayed)
+{
+    for (const std::string status : { "200", "299", "399", "499", "599" }) {
+        const auto text = "HTTP/1.1 " + status + " Status\r\n" + signatureFields() + "Content-Length: 4\r\n\r\npart";
+        BrokenTargetFixture fixture(RequestKind::NonIdempotent, sendingOnce(text));
+        const auto received = fixture.call("POST", "book");
+        BOOST_TEST(statusOf(received) == "HTTP/1.1 " + status);
+        BOOST_TEST(bodyOf(received) == "part");
+    }
+}
--- a/tests/io/target_answers_test.cpp
+++ b/tests/io/target_answers_test.cpp
@@ -53,6 +53,9 @@
         { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nBuckthorncroft-Request-Id: other\r\nContent-Length: 3\r\n\r\nabc", Verdict::Mismatched },
         { "HTTP/1.1 101 Switching Protocols\r\n\r\n", Verdict::Truncated },
+        { "HTTP/1.1 000 Unknown\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
+        { "HTTP/1.1 099 Unknown\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
+        { "HTTP/1.1 600 Unknown\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
         { "nonsense\r\n\r\n", Verdict::Truncated },
         { "", Verdict::Truncated },
     };
