Don't end a drain because of a response with an undefined status

A target that drains and is in trouble could answer a drain probe with a status such as 000 and no draining header. The entry daemon counted that as "not draining", and three of them in a row end the drain, so callers' requests go to the target again.

Cause: as for relayed responses, nothing checked the status that Beast's parser accepts. The probe now counts a response with a status outside 100 to 599 as no response.

--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -1,5 +1,7 @@
 #include "platform_worker.h"
 
+#include "../http/framing.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -143,7 +145,7 @@
     message.set(http::field::connection, "close");
     beast::flat_buffer buf;
     http::response<http::string_body> response;
-    bool hasResponse = false;
+    bool isResponseComplete = false;
     stream.expires_after(probeTimeout);
     stream.async_connect(tcp::endpoint(address, request.port), [&](boost::system::error_code connectError) {
         if (connectError)
@@ -152,11 +154,11 @@
             if (writeError)
                 return;
             http::async_read(stream, buf, response,
-                [&](boost::system::error_code readError, std::size_t) { hasResponse = !readError; });
+                [&](boost::system::error_code readError, std::size_t) { isResponseComplete = !readError; });
         });
     });
     io.run();
-    if (!hasResponse)
+    if (!isResponseComplete || !buckthorncroft::http::isValidStatus(response.result_int()))
         return membership::DrainProbeResult::NoResponse;
     return response.count(drainingHeader) ? membership::DrainProbeResult::StillDraining
                                           : membership::DrainProbeResult::NotDraining;
