Don't take a reset during an upload for the end of a response

A target answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a complete response.

Cause: the system reports a reset to one operation only. The gateway sends the whole request before it reads the response, so the sending got the error. Reading then returned what had arrived and the end of the stream, which ends a response without a length.

TargetCall remembers that sending failed, and a response that the end of the connection ends does not count as complete then. The attempt fails: a request that may be repeated goes to another target, any other gets 502. This works because the failed sending is known before reading begins. Responses with a length or chunks, and the header that says that the request did not run, don't depend on the end of the connection and are used as before.

--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -241,6 +241,11 @@
         conclude(AttemptState::Failed, verdict, fmt::format("answer {} is not signed for this request", status));
         return;
     }
+    if (m_call->mayBeCutOff()) {
+        conclude(AttemptState::Failed, Verdict::Truncated,
+            "the connection failed during the request, before the end of the answer");
+        return;
+    }
     m_body = m_call->takeBufferedBody();
     if (!m_bodyMemory->tryGrow(m_body.capacity())) {
         conclude(AttemptState::Failed, Verdict::Cancelled, "the memory budget is used up");
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -56,7 +56,8 @@
     Awaitable<bool> sendBodyPiece(std::string_view piece);
 
     /// Reads the head of the final response, skipping interim ones, and its body up to `maxBufferedBodyBytes`. `id` is
-    /// the request id that the response must echo, if it echoes one or `CallRules::requireRequestId` is set.
+    /// the request id that the response must echo, if it echoes one or `CallRules::requireRequestId` is set. If the
+    /// result is `Answered`, the head is valid, but `mayBeCutOff` must be checked before the body is used.
     Awaitable<CallResult> readResponse(bhttp::verb method, std::string id);
 
     /// Waits for 100 Continue and returns true when it is received. Returns false if a final head or an error came
@@ -70,7 +71,12 @@
     const bhttp::response_header<>& head() const { return m_parser->get().base(); }
     const std::string& bufferedBody() const { return m_bufferedBody; }
     std::string takeBufferedBody() { return std::exchange(m_bufferedBody, {}); }
-    bool isComplete() const { return m_parser && m_parser->is_done() && !m_failed; }
+    bool isComplete() const { return m_parser && m_parser->is_done() && !m_failed && !mayBeCutOff(); }
+
+    /// Whether the end of the connection ends the response, but need not be its end, because sending the request
+    /// failed. The system reports a connection reset to one operation only: if that was the sending, reading ends as
+    /// after an orderly close.
+    bool mayBeCutOff() const { return m_sendFailed && m_parser->need_eof(); }
     std::optional<std::uint64_t> contentLength() const;
 
     /// Whether the connection can be used for another call. Requires a complete exchange without errors, interim or
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -86,6 +86,24 @@
     };
 }
 
+/// Returns an upload that does not fit into the buffers of a connection, so that a target that does not read it gets it
+/// only in part.
+const std::string& longUpload()
+{
+    static const std::string result(8'000'000, 'u');
+    return result;
+}
+
+/// Reads the head of an upload, sends `text` and resets the connection.
+RawTarget::Script resettingDuringUpload(const std::string& text)
+{
+    return [text](RawConnection& peer, unsigned) {
+        peer.readUntil("\r\n\r\n");
+        peer.send(text);
+        peer.reset();
+    };
+}
+
 /// Returns what is wrong with the treatment of a target that runs `script`, which sends no valid response, or an empty
 /// string: a request that may run only once must fail with 502, and one that may be repeated must be served by the
 /// sound target.
@@ -131,3 +149,59 @@
         BOOST_TEST(bodyOf(received) == "part");
     }
 }
+
+// Guards against the part of a body that reaches the caller as the whole one: the target sends a response without a
+// length and resets the connection while the request is still being sent to it.
+BOOST_AUTO_TEST_CASE(resetDuringAnUploadIsNotTheEndOfTheResponse)
+{
+    const auto ok = "HTTP/1.1 200 OK\r\n" + signatureFields();
+    for (const auto& text : {
+             ok + "\r\npart",
+             ok + "Connection: close\r\n\r\npart",
+             ok + "\r\n",
+             ok + "\r\n" + std::string(40'000, 'x'),
+             ok + "Content-Length: 5\r\n\r\npart",
+             ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+             "HTTP/1.0 200 OK\r\n" + signatureFields() + "\r\npart",
+             "HTTP/1.1 500 Failure\r\n" + signatureFields() + "\r\npart",
+         }) {
+        const auto fault = findFault(resettingDuringUpload(text), longUpload());
+        BOOST_TEST(fault.empty(), text.substr(0, 200) << ": " << fault.substr(0, 200));
+    }
+}
+
+// Guards against giving up a response that was received whole before its target reset the connection.
+BOOST_AUTO_TEST_CASE(wholeResponseBeforeAResetIsRelayed)
+{
+    for (const std::string framing :
+        { "Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" }) {
+        const auto text = "HTTP/1.1 200 OK\r\n" + signatureFields() + framing;
+        BrokenTargetFixture fixture(RequestKind::Upload, resettingDuringUpload(text));
+        BOOST_TEST(bodyOf(fixture.call("POST", longUpload())) == "whole", framing);
+    }
+}
+
+// Guards against a failure of an upload that its target refused before it reset the connection: the head alone says
+// that the request did not run, so another target may get it.
+BOOST_AUTO_TEST_CASE(refusalBeforeAResetIsRetried)
+{
+    for (const auto& it : framings()) {
+        const auto text = "HTTP/1.1 503 Full\r\n" + signatureFields() + gateway::HeaderNames().notRun + ": 1\r\n"
+            + it.fields + "\r\n" + it.encodedBody;
+        BrokenTargetFixture fixture(RequestKind::Upload, resettingDuringUpload(text));
+        BOOST_TEST(bodyOf(fixture.call("POST", longUpload())) == "sound", it.name);
+    }
+}
+
+// Guards against rejecting a response without a length that ends in order while the request is still being sent.
+BOOST_AUTO_TEST_CASE(responseThatEndsInOrderDuringAnUploadIsWhole)
+{
+    BrokenTargetFixture fixture(RequestKind::Upload, [](RawConnection& peer, unsigned) {
+        peer.readUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\n" + signatureFields() + "\r\nwhole");
+        peer.closeSending();
+        peer.readBytes(longUpload().size());
+        peer.waitForPeerClose();
+    });
+    BOOST_TEST(bodyOf(fixture.call("POST", longUpload())) == "whole");
+}
--- a/tests/io/upload_test.cpp
+++ b/tests/io/upload_test.cpp
@@ -193,3 +193,23 @@
     BOOST_TEST(sent < std::size_t { 40 } << 20);
     BOOST_TEST(fixture.server->memoryUsed() < std::size_t { 1 } << 20);
 }
+
+// Guards against the part of a response that counts as the whole one: the target sends a response without a length and
+// resets the connection while the body is still being sent to it.
+BOOST_AUTO_TEST_CASE(resetDuringAnUploadIsNotTheEndOfTheResponse)
+{
+    RawTarget target([](RawConnection& peer, unsigned) {
+        peer.readUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        peer.reset();
+    });
+    ServerFixture fixture;
+    fixture.addTarget(target.port());
+    fixture.start();
+    const std::string body(8'000'000, 'u');
+    const auto response = fixture.call("PUT", "/up/plan", "", body);
+    BOOST_TEST((response.empty() || statusOf(response) == "502"), response);
+    const auto finished = fixture.finished(1);
+    BOOST_REQUIRE_EQUAL(finished.size(), 1u);
+    BOOST_TEST((finished[0].outcome == outcome::Outcome::Unknown));
+}
