Don't relay responses with a folded line in the head

Cause: Beast joins such a line with the previous one. Requests are checked for it, responses were not.

TargetCall reads heads with readHead, which checks the bytes that the parser has taken for folded lines, in the same way as heads of requests. The attempt fails: a request that may be repeated goes to another target, any other gets 502. The reading of bodies shares its loop with it and is unchanged.

--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -15,6 +15,11 @@
     return RequestRejection { 400, "the request is malformed: " + ec.message() };
 }
 
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 Awaitable<error_code> bufferRequestHead(Connection& connection, std::size_t limit)
 {
     constexpr std::size_t pieceBytes = 4096;
@@ -23,10 +28,7 @@
         const std::string_view text(static_cast<const char*>(buffer.data().data()), buffer.size());
         const auto end = text.find("\r\n\r\n");
         if (end != std::string_view::npos || text.size() >= limit) {
-            const auto head = text.substr(0, end);
-            const bool isFolded
-                = head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
-            co_return isFolded ? make_error_code(bhttp::error::bad_obs_fold) : error_code {};
+            co_return hasFoldedLine(text.substr(0, end)) ? make_error_code(bhttp::error::bad_obs_fold) : error_code {};
         }
         if (buffer.size() + pieceBytes > buffer.max_size())
             co_return make_error_code(bhttp::error::buffer_overflow);
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace buckthorncroft::http {
 
@@ -16,9 +17,13 @@
 /// Returns the rejection for an error in reading a request, or nothing if the connection failed or ended.
 std::optional<RequestRejection> rejectionForReadError(error_code ec);
 
+/// Whether a line of a header block begins with a blank. Beast's parser joins such a line with the previous one, while
+/// other readers of the same message may take it for a field of its own, or for the end of the block.
+bool hasFoldedLine(std::string_view head);
+
 /// Reads until the buffer of the connection contains a complete header block or `limit` bytes. Must precede the reading
-/// of a request by Beast's parser, which accepts folded lines and joins them, while other readers of the same request
-/// may take them for something else. Errors: `bad_obs_fold` if a line is folded, and errors of the connection.
+/// of a request by Beast's parser, which accepts folded lines. Errors: `bad_obs_fold` if a line is folded, and errors
+/// of the connection.
 Awaitable<error_code> bufferRequestHead(Connection& connection, std::size_t limit);
 
 /// Returns the rejection of a request that Beast's parser accepts but this proxy does not: repeated lengths, unknown
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -84,8 +84,7 @@
     m_parser->body_limit(unlimitedBody);
     if (method == bhttp::verb::head)
         m_parser->skip(true);
-    error_code ec;
-    co_await bhttp::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, captureError(ec));
+    auto ec = co_await readHead(*m_connection, *m_parser);
     m_sawResponseBytes = m_sawResponseBytes || m_parser->got_some();
     if (!ec && !isValidStatus(m_parser->get().result_int()))
         ec = make_error_code(bhttp::error::bad_status);
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -205,3 +205,46 @@
     });
     BOOST_TEST(bodyOf(fixture.call("POST", longUpload())) == "whole");
 }
+
+// Guards against a response whose head other readers understand differently, because the name of a field is not a
+// token: the caller would get a corrupted field, or a body with the wrong length.
+BOOST_AUTO_TEST_CASE(fieldNameWithABlankOrAControlByteIsAFailedAttempt)
+{
+    using namespace std::string_literals;
+    const std::vector<std::string> lines { " X-Pad: 1", "\tX-Pad: 1", "  X-Pad: 1", " : 1", " ", "\t", "X Pad: 1",
+        "X\tPad: 1", "X-Pad : 1", "X-Pad\t: 1", ": 1", "X\0Pad: 1"s, "X\x01Pad: 1", "X\x0bPad: 1", "X\x1fPad: 1",
+        "X\x7fPad: 1", "X\x80Pad: 1", "X\rPad: 1", "X\nPad: 1", "X-Pad\x01: 1", "\x01X-Pad: 1", " Content-Length: 2",
+        "Content-Length : 2", "Content-Length\x01: 2", "Content\tLength: 2", " Transfer-Encoding: chunked",
+        "Transfer-Encoding : chunked", "Transfer-Encoding\x01: chunked" };
+    for (const auto& line : lines) {
+        for (const auto& framing : framings()) {
+            for (const auto& head : {
+                     line + "\r\n" + signatureFields() + framing.fields,
+                     signatureFields() + line + "\r\n" + framing.fields,
+                     signatureFields() + framing.fields + line + "\r\n",
+                 }) {
+                const auto text = "HTTP/1.1 200 OK\r\n" + head + "\r\n" + framing.encodedBody;
+                for (const bool split : { false, true }) {
+                    const auto fault = findFault(sendingOnce(text, split));
+                    BOOST_TEST(fault.empty(), text << (split ? ", byte by byte: " : ": ") << fault);
+                }
+            }
+        }
+    }
+}
+
+// Guards against a head that is relayed differently, depending on the pieces in which it arrives.
+BOOST_AUTO_TEST_CASE(validHeadIsRelayedUnchangedInAnyPieces)
+{
+    const auto text = "HTTP/1.1 200 OK\r\n" + signatureFields()
+        + "X-Empty:\r\nX-Pad: a b\tc\r\nX-Pad: \xc3\xa9 !#$%&'*+-.^_`|~\r\nContent-Length: 4\r\n\r\npart";
+    std::vector<std::string> received;
+    for (const bool split : { false, true }) {
+        BrokenTargetFixture fixture(RequestKind::NonIdempotent, sendingOnce(text, split));
+        received.push_back(fixture.call("POST", "book"));
+    }
+    BOOST_TEST(received.at(0).starts_with("HTTP/1.1 200 OK\r\n" + signatureFields()
+        + "X-Empty: \r\nX-Pad: a b\tc\r\n"
+          "X-Pad: \xc3\xa9 !#$%&'*+-.^_`|~\r\n"));
+    BOOST_TEST(received.at(0) == received.at(1));
+}
