Don't relay bodies in unsupported transfer codings

Callers got the body of a response in a transfer coding that its head no longer named. For "chunked, gzip" the chunk sizes were a part of the body; for "gzip" and "gzip, chunked" the compressed bytes were the body.

Cause: the same as for undefined statuses. Beast's parser ignores transfer codings that it doesn't know, nothing checked them afterwards, and Transfer-Encoding is not relayed. Requests are checked for it.

checkResponseHead, which replaces isValidStatus, rejects all codings but chunked for all readers of targets' responses, and the attempt fails: a request that may be repeated goes to another target, any other gets 502.

Evidence: before the change, unsupportedTransferCodingIsAFailedAttempt of broken_response_test fails in 10 of its 12 cases, and target_answers_test in 12 checks for the entry daemon. Both pass with it, as do drain_probe_test, partial_response_test, partial_response_io_test and long_response_test.

--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -158,7 +158,7 @@
         });
     });
     io.run();
-    if (!isResponseComplete || !buckthorncroft::http::isValidStatus(response.result_int()))
+    if (!isResponseComplete || buckthorncroft::http::checkResponseHead(response))
         return membership::DrainProbeResult::NoResponse;
     return response.count(drainingHeader) ? membership::DrainProbeResult::StillDraining
                                           : membership::DrainProbeResult::NotDraining;
--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -6,6 +6,16 @@
 
 namespace buckthorncroft::http {
 
+namespace {
+
+    bool hasUnsupportedCoding(const bhttp::fields& head)
+    {
+        const auto n = head.count(bhttp::field::transfer_encoding);
+        return n > 1 || (n == 1 && !beast::iequals(head[bhttp::field::transfer_encoding], "chunked"));
+    }
+
+} // namespace
+
 std::optional<RequestRejection> rejectionForReadError(error_code ec)
 {
     if (ec == bhttp::error::header_limit || ec == bhttp::error::buffer_overflow)
@@ -62,9 +72,13 @@
     return std::nullopt;
 }
 
-bool isValidStatus(unsigned status)
+error_code checkResponseHead(const bhttp::response_header<>& head)
 {
-    return status >= 100 && status <= 599;
+    if (head.result_int() < 100 || head.result_int() > 599)
+        return make_error_code(bhttp::error::bad_status);
+    if (hasUnsupportedCoding(head))
+        return make_error_code(bhttp::error::bad_transfer_encoding);
+    return {};
 }
 
 void removeHopByHopHeaders(bhttp::fields& fields)
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -31,9 +31,10 @@
 /// is valid.
 std::optional<RequestRejection> checkRequestHead(const bhttp::request_header<>& head);
 
-/// Whether HTTP defines a class for the status of a response (RFC 9110, section 15). Beast's parser accepts any three
-/// digits.
-bool isValidStatus(unsigned status);
+/// Checks the head of a response that Beast's parser has accepted. Errors: `bad_status` if HTTP defines no class for
+/// the status (RFC 9110, section 15), and `bad_transfer_encoding` for all transfer codings but chunked, which can't be
+/// decoded and are not relayed.
+error_code checkResponseHead(const bhttp::response_header<>& head);
 
 /// Removes hop-by-hop headers, including those that `Connection` names.
 void removeHopByHopHeaders(bhttp::fields& fields);
--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -86,9 +86,7 @@
         m_parser->skip(true);
     auto ec = co_await readHead(*m_connection, *m_parser);
     m_sawResponseBytes = m_sawResponseBytes || m_parser->got_some();
-    if (!ec && !isValidStatus(m_parser->get().result_int()))
-        ec = make_error_code(bhttp::error::bad_status);
-    co_return ec;
+    co_return ec ? ec : checkResponseHead(m_parser->get());
 }
 
 void TargetCall::fail(error_code ec)
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -248,3 +248,28 @@
           "X-Pad: \xc3\xa9 !#$%&'*+-.^_`|~\r\n"));
     BOOST_TEST(received.at(0) == received.at(1));
 }
+
+// Guards against a body that reaches the caller in a coding that its head does not name: the gateway removes the
+// transfer coding, but can decode only chunks.
+BOOST_AUTO_TEST_CASE(unsupportedTransferCodingIsAFailedAttempt)
+{
+    const std::string chunks = "4\r\npart\r\n0\r\n\r\n";
+    for (const auto& [coding, body] : std::vector<std::pair<std::string, std::string>> {
+             { "gzip", "part" },
+             { "gzip", chunks },
+             { "identity", "part" },
+             { "gzip, chunked", chunks },
+             { "chunked, gzip", chunks },
+             { "chunked, chunked", chunks },
+             { "xchunked", chunks },
+             { "", "part" },
+             { "chunked\r\nTransfer-Encoding: gzip", chunks },
+             { "gzip\r\nTransfer-Encoding: chunked", chunks },
+             { "gzip\r\nContent-Length: 4", "part" },
+             { "chunked\r\nContent-Length: 4", chunks },
+         }) {
+        const auto head = "HTTP/1.1 200 OK\r\n" + signatureFields() + "Transfer-Encoding: " + coding + "\r\n\r\n";
+        const auto fault = findFault(sendingOnce(head + body));
+        BOOST_TEST(fault.empty(), coding << ": " << fault);
+    }
+}
--- a/tests/io/target_answers_test.cpp
+++ b/tests/io/target_answers_test.cpp
@@ -59,6 +59,8 @@
         { "HTTP/1.1 200 OK\r\nX-Pad: 1\r\n X-Pad: 2\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nX Pad: 1\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
         { "HTTP/1.1 200 OK\r\nX\x01Pad: 1\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", Verdict::Truncated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", Verdict::Truncated },
         { "nonsense\r\n\r\n", Verdict::Truncated },
         { "", Verdict::Truncated },
     };
