Keep the trailer of a response out of its head

Callers got the fields of a trailer as fields of the head, also those of a folded line. A signature in the trailer made an unsigned response count as signed, and a refusal in it let a request that may run only once be sent to a second target, although its response was complete.

Cause: the parser adds the fields of a trailer to those of the head, and the head of a short chunked response was used after its body had been read. Requests keep a copy of their head for that reason.

TargetCall now keeps such a copy for chunked responses, so that all users of head() see what was read before the body. Long responses were relayed without the fields of their trailers before, too.

Evidence: before the change, trailerIsNotAPartOfTheHead of broken_response_test fails in 4 of its 4 checks. It passes with it, as do target_answers_test, partial_response_test, partial_response_io_test, long_response_test, attempts_test, entry_daemon_test and upload_test.

--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -137,6 +137,9 @@
     // Without a length, a failed connection would look like the end of the response.
     const bool forbiddenCloseDelimited = m_parser->need_eof() && !m_rules.allowCloseDelimitedResponses;
     m_failed = interim || forbiddenCloseDelimited || fields.count(bhttp::field::content_length) > 1;
+    m_headBeforeTrailer.reset();
+    if (m_parser->chunked())
+        m_headBeforeTrailer = fields.base();
     co_return !m_failed;
 }
 
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -68,7 +68,11 @@
     /// failed; `isComplete` distinguishes the two.
     Awaitable<std::size_t> readSome(char* data, std::size_t size);
 
-    const bhttp::response_header<>& head() const { return m_parser->get().base(); }
+    /// The head, without the fields of a trailer.
+    const bhttp::response_header<>& head() const
+    {
+        return m_headBeforeTrailer ? *m_headBeforeTrailer : m_parser->get().base();
+    }
     const std::string& bufferedBody() const { return m_bufferedBody; }
     std::string takeBufferedBody() { return std::exchange(m_bufferedBody, {}); }
     bool isComplete() const { return m_parser && m_parser->is_done() && !m_failed && !mayBeCutOff(); }
@@ -103,6 +107,8 @@
     std::shared_ptr<Connection> m_connection;
     CallRules m_rules;
     std::optional<Parser> m_parser;
+    /// Set for a chunked response, because the parser adds the fields of the trailer to those of the head.
+    std::optional<bhttp::response_header<>> m_headBeforeTrailer;
     std::optional<bhttp::request<bhttp::buffer_body>> m_streamedRequest; ///< Sent by `sendHead` and `sendBodyPiece`.
     std::optional<bhttp::request_serializer<bhttp::buffer_body>> m_serializer;
     std::string m_bufferedBody;
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -6,6 +6,7 @@
 using namespace buckthorncroft;
 using namespace buckthorncroft::test;
 using config::RequestKind;
+using namespace std::string_literals;
 
 namespace {
 
@@ -210,7 +211,6 @@
 // token: the caller would get a corrupted field, or a body with the wrong length.
 BOOST_AUTO_TEST_CASE(fieldNameWithABlankOrAControlByteIsAFailedAttempt)
 {
-    using namespace std::string_literals;
     const std::vector<std::string> lines { " X-Pad: 1", "\tX-Pad: 1", "  X-Pad: 1", " : 1", " ", "\t", "X Pad: 1",
         "X\tPad: 1", "X-Pad : 1", "X-Pad\t: 1", ": 1", "X\0Pad: 1"s, "X\x01Pad: 1", "X\x0bPad: 1", "X\x1fPad: 1",
         "X\x7fPad: 1", "X\x80Pad: 1", "X\rPad: 1", "X\nPad: 1", "X-Pad\x01: 1", "\x01X-Pad: 1", " Content-Length: 2",
@@ -273,3 +273,21 @@
         BOOST_TEST(fault.empty(), coding << ": " << fault);
     }
 }
+
+// Guards against fields of a trailer that count as fields of the head: a folded line or an unknown field that reaches
+// the caller, and a signature or a refusal that the head does not have.
+BOOST_AUTO_TEST_CASE(trailerIsNotAPartOfTheHead)
+{
+    const auto respondWith = [](const std::string& fields, const std::string& trailer) {
+        return sendingOnce(
+            "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n" + trailer + "\r\n");
+    };
+    const auto refusal = gateway::HeaderNames().notRun + ": 1\r\n";
+    for (const auto& trailer : { "X-Sum: 1\r\n X-Pad: 1\r\n"s, "X-Sum: 1\r\n"s, refusal }) {
+        BrokenTargetFixture fixture(RequestKind::NonIdempotent, respondWith(signatureFields(), trailer));
+        BOOST_TEST(fixture.call("POST", "book")
+            == "HTTP/1.1 200 OK\r\n" + signatureFields() + "Content-Length: 4\r\n\r\npart");
+    }
+    const auto fault = findFault(respondWith("", signatureFields()));
+    BOOST_TEST(fault.empty(), fault);
+}
