Let the load tool notice a reset during an upload

Cause: it reads while it still writes and discarded the error of the write, on the assumption that the read fails as well. The system reports a reset to one of the two only.

A response that the end of the connection ends now counts as truncated if the write has failed. The handler of the write runs first, as both belong to one thread and the write took the error.

--- a/apps/load_attempt.h
+++ b/apps/load_attempt.h
@@ -132,8 +132,9 @@
         const auto& bytes = m_request.body->bytes;
         m_httpRequest.body() = { bytes.data(), bytes.size() };
         m_httpRequest.prepare_payload();
-        // A failed write is followed by a failed read or by an early response, so only the read determines the result.
-        http::async_write(m_socket, m_httpRequest, [self = shared_from_this()](error_code, std::size_t) {});
+        // A failed write does not end the attempt, because an early response may still be readable.
+        http::async_write(m_socket, m_httpRequest,
+            [self = shared_from_this()](error_code ec2, std::size_t) { self->m_writeFailed = ec2.failed(); });
         m_parser.body_limit(UINT64_MAX);
         m_parser.skip(m_request.method == "HEAD");
         http::async_read_header(m_socket, m_buffer, m_parser, [self = shared_from_this()](error_code ec2, std::size_t) {
@@ -149,6 +150,10 @@
             if (ec)
                 return self->finish(
                     { AttemptOutcome::Truncated, self->m_parser.get().result_int(), false, ec.message() });
+            // If the write has reported a connection reset, the read ends as after an orderly close.
+            if (self->m_parser.need_eof() && self->m_writeFailed)
+                return self->finish({ AttemptOutcome::Truncated, self->m_parser.get().result_int(), false,
+                    "the connection failed during the request" });
             self->classifyResponse();
         });
     }
@@ -191,6 +196,7 @@
     OutgoingRequest m_request;
     Handler m_handler;
     bool m_finished = false;
+    bool m_writeFailed = false;
     http::request<http::span_body<const char>> m_httpRequest;
     beast::flat_buffer m_buffer;
     http::response_parser<http::string_body> m_parser;
