--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -84,7 +84,7 @@
     m_parser->body_limit(unlimitedBody);
     if (method == bhttp::verb::head)
         m_parser->skip(true);
-    auto ec = co_await readHead(*m_connection, *m_parser);
+    const auto ec = co_await readHead(*m_connection, *m_parser);
     m_sawResponseBytes = m_sawResponseBytes || m_parser->got_some();
     co_return ec ? ec : checkResponseHead(m_parser->get());
 }
