--- a/tests/io/drain_probe_test.cpp
+++ b/tests/io/drain_probe_test.cpp
@@ -4,6 +4,7 @@
 #include "../../src/daemon/platform_worker.h"
 #include "../../standins/raw_target.h"
 
+#include <fmt/format.h>
 #include <future>
 
 using namespace buckthorncroft;
@@ -40,17 +41,18 @@
 // Guards against a drain that ends because the target sent a response that is not valid.
 BOOST_AUTO_TEST_CASE(onlyAValidResponseSaysWhetherTheTargetDrains)
 {
+    const auto makeResponse = [](const std::string& status, const std::string& fields) {
+        return fmt::format("HTTP/1.1 {} Status\r\n{}Content-Length: 2\r\n\r\nok", status, fields);
+    };
     const std::string draining = "Buckthorncroft-Draining: true\r\n";
-    const std::string length = "Content-Length: 2\r\n\r\nok";
-    BOOST_TEST((probe("HTTP/1.1 200 OK\r\n" + length) == DrainProbeResult::NotDraining));
-    BOOST_TEST((probe("HTTP/1.1 503 Draining\r\n" + draining + length) == DrainProbeResult::StillDraining));
+    BOOST_TEST((probe(makeResponse("200", "")) == DrainProbeResult::NotDraining));
+    BOOST_TEST((probe(makeResponse("503", draining)) == DrainProbeResult::StillDraining));
     BOOST_TEST((probe("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok") == DrainProbeResult::NoResponse));
     for (const std::string status : { "000", "099", "600" }) {
         BOOST_TEST_CONTEXT(status)
         {
-            BOOST_TEST((probe("HTTP/1.1 " + status + " Status\r\n" + length) == DrainProbeResult::NoResponse));
-            BOOST_TEST(
-                (probe("HTTP/1.1 " + status + " Status\r\n" + draining + length) == DrainProbeResult::NoResponse));
+            BOOST_TEST((probe(makeResponse(status, "")) == DrainProbeResult::NoResponse));
+            BOOST_TEST((probe(makeResponse(status, draining)) == DrainProbeResult::NoResponse));
         }
     }
 }
