Relay responses that end in order before a reset

Cause: every failed sending made the end of the response unknown.

TargetCall keeps that error, and only a broken pipe leaves the end of the connection the end of the response.

--- a/src/http/target_call.cpp
+++ b/src/http/target_call.cpp
@@ -46,7 +46,7 @@
         message.content_length(body.size());
     error_code ec;
     co_await bhttp::async_write(m_connection->socket(), message, captureError(ec));
-    m_sendFailed = ec.failed();
+    m_sendError = ec;
     co_return !ec;
 }
 
@@ -58,7 +58,7 @@
     m_serializer.emplace(*m_streamedRequest);
     error_code ec;
     co_await bhttp::async_write_header(m_connection->socket(), *m_serializer, captureError(ec));
-    m_sendFailed = ec.failed();
+    m_sendError = ec;
     co_return !ec;
 }
 
@@ -73,7 +73,7 @@
     co_await bhttp::async_write(m_connection->socket(), *m_serializer, captureError(ec));
     if (ec == bhttp::error::need_buffer)
         ec = {};
-    m_sendFailed = ec.failed();
+    m_sendError = ec;
     co_return !ec;
 }
 
@@ -216,7 +216,7 @@
 
 bool TargetCall::isReusable()
 {
-    return isComplete() && !m_sendFailed && m_interimResponses == 0 && m_skippedResponses == 0 && m_parser->keep_alive()
+    return isComplete() && !m_sendError && m_interimResponses == 0 && m_skippedResponses == 0 && m_parser->keep_alive()
         && !m_connection->timedOut() && m_connection->isOpenAndIdle();
 }
 
--- a/src/http/target_call.h
+++ b/src/http/target_call.h
@@ -79,8 +79,8 @@
 
     /// Whether the end of the connection ends the response, but need not be its end, because sending the request
     /// failed. The system reports a connection reset to one operation only: if that was the sending, reading ends as
-    /// after an orderly close.
-    bool mayBeCutOff() const { return m_sendFailed && m_parser->need_eof(); }
+    /// after an orderly close. After an orderly close, Linux reports a reset as a broken pipe.
+    bool mayBeCutOff() const { return m_sendError && m_sendError != asio::error::broken_pipe && m_parser->need_eof(); }
     std::optional<std::uint64_t> contentLength() const;
 
     /// Whether the connection can be used for another call. Requires a complete exchange without errors, interim or
@@ -113,10 +113,10 @@
     std::optional<bhttp::request_serializer<bhttp::buffer_body>> m_serializer;
     std::string m_bufferedBody;
     error_code m_formatError;
+    error_code m_sendError;
     unsigned m_interimResponses = 0;
     unsigned m_skippedResponses = 0; ///< Responses to other requests.
     bool m_headRead = false;
-    bool m_sendFailed = false;
     bool m_failed = false;
     bool m_sawResponseBytes = false;
 };
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -171,6 +171,20 @@
     }
 }
 
+// Guards against giving up a response without a length that ended in order before its target reset the connection.
+BOOST_AUTO_TEST_CASE(orderlyEndBeforeAResetIsTheEndOfTheResponse)
+{
+    for (unsigned n = 0; n < 10; ++n) {
+        BrokenTargetFixture fixture(RequestKind::Upload, [](RawConnection& peer, unsigned) {
+            peer.readUntil("\r\n\r\n");
+            peer.send("HTTP/1.1 200 OK\r\n" + signatureFields() + "\r\nwhole");
+            peer.closeSending();
+            peer.reset();
+        });
+        BOOST_TEST(bodyOf(fixture.call("POST", longUpload())) == "whole");
+    }
+}
+
 // Guards against giving up a response that was received whole before its target reset the connection.
 BOOST_AUTO_TEST_CASE(wholeResponseBeforeAResetIsRelayed)
 {
