--- a/review/support-3/harness.h
+++ b/review/support-3/harness.h
@@ -84,7 +84,7 @@
 /// that was not returned before.
 inline std::uint16_t freePort()
 {
-    static std::uint16_t next = static_cast<std::uint16_t>(12'000 + ::getpid() % 1'000 * 16);
+    static std::uint16_t next = static_cast<std::uint16_t>(12'000 + ::getpid() % 180 * 110);
     while (true) {
         const auto port = next++;
         asio::io_context io;
