--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,8 +4,8 @@
 cd "$here/../.." || exit 2
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-[ -x target/buckthorncroft-gateway ] && [ -x target/review-3/outage ] || exit 2
-timeout 110 target/review-3/outage "$work" "$here/record.txt"
+[ -x target/buckthorncroft-gateway ] && [ -x target/review-3/cut_zone ] || exit 2
+timeout 110 target/review-3/cut_zone "$work" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
--- a/review/support-3/harness.h
+++ b/review/support-3/harness.hh
@@ -19,6 +19,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -80,8 +81,8 @@
     return result;
 }
 
-/// Returns a loopback port below the range of the system's own choice that is free for TCP and UDP at the moment, and
-/// that was not returned before.
+/// Returns a loopback port that is free for TCP and UDP at the moment and that this process was not given before. The
+/// ports lie below those that the system gives to connections.
 inline std::uint16_t freePort()
 {
     static std::uint16_t next = static_cast<std::uint16_t>(12'000 + ::getpid() % 180 * 110);
@@ -130,6 +131,8 @@
         m_pid = ::fork();
         if (m_pid != 0)
             return;
+        // The process ends with this one, also if a script is stopped early.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("BUCKTHORNCROFT_NODE_FILE", m_settings.c_str(), 1);
         if (!std::freopen(m_log.c_str(), "a", stdout) || ::dup2(1, 2) < 0)
             std::_Exit(couldNotRun);
