--- a/review/support-3/pipelined.cpp
+++ b/review/support-3/pipelined.cc
@@ -1,6 +1,6 @@
 // Callers send a second `safe` request before the first one has been answered, on kept connections. The answer to the
 // first is long, and its target breaks off some of its answers. The second goes to a sound target of another service.
-#include "harness.h"
+#include "harness.hh"
 
 #include <atomic>
 #include <random>
